--- /dev/null
+++ b/crates/backend/src/engine.rs
@@ -0,0 +1,270 @@
+//! Model engines: completions as server-sent events, with resume and cancel.
+//!
+//! `POST /v1/completions` takes `request_id`, `model`, `prompt`, `max_tokens`,
+//! `priority`, `stream` and, to resume, `resume_from`; events carry `id`,
+//! `sequence` and `choices[0].text`; the last one carries `finish_reason` and
+//! `usage`, and `data: [DONE]` ends the stream.
+
+use crate::agent::{transport_failure, Agents};
+use crate::call::{CallFailure, StageCall, StageOutput, TokenSink};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader};
+use std::time::Duration;
+
+const END_MARK: &str = "[DONE]";
+const DATA_FIELD: &str = "data:";
+const LOAD_TIMEOUT: Duration = Duration::from_millis(800);
+/// How often a broken stream is resumed at the same engine.
+const MAX_RESUMES: u32 = 2;
+
+/// An engine's report of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+pub struct EngineLoad {
+    /// Sequences being generated.
+    pub running: u32,
+    /// Sequences waiting.
+    pub waiting: u32,
+}
+
+#[derive(Serialize)]
+struct CompletionBody<'a> {
+    request_id: &'a str,
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: u32,
+    priority: i64,
+    stream: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    resume_from: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct Event {
+    id: String,
+    sequence: u64,
+    choices: Vec<Choice>,
+    #[serde(default)]
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    #[serde(default)]
+    cost_ms: f64,
+}
+
+/// How reading one connection of a stream ended.
+enum StreamEnd {
+    Complete,
+    Broken(String),
+}
+
+/// What has been received of a stream over all its connections.
+struct Progress<'a> {
+    text: String,
+    tokens: u64,
+    cost_ms: f64,
+    finished: bool,
+    sink: &'a mut dyn TokenSink,
+}
+
+/// Runs a generation; blocks until the engine's end mark, the deadline or an
+/// error. A broken connection is resumed at the next token.
+pub fn generate(
+    agents: &Agents,
+    call: &StageCall,
+    sink: &mut dyn TokenSink,
+) -> Result<StageOutput, CallFailure> {
+    let prompt = prompt_of(call);
+    let mut progress = Progress {
+        text: String::new(),
+        tokens: 0,
+        cost_ms: 0.0,
+        finished: false,
+        sink,
+    };
+    let mut resumes = 0;
+    loop {
+        let resume_from = (resumes > 0).then_some(progress.tokens);
+        let end = match open_stream(agents, call, &prompt, resume_from) {
+            Ok(response) => read_stream(response, call, &mut progress)?,
+            // A refused resume leaves what was received unfinished.
+            Err(CallFailure::NotRun(detail)) if resumes > 0 => StreamEnd::Broken(detail),
+            Err(failure) => return Err(failure),
+        };
+        match end {
+            StreamEnd::Complete => return Ok(progress.into_output()),
+            StreamEnd::Broken(detail) if resumes == MAX_RESUMES => {
+                return Err(CallFailure::Lost(detail))
+            }
+            StreamEnd::Broken(_) => resumes += 1,
+        }
+    }
+}
+
+impl Progress<'_> {
+    fn into_output(self) -> StageOutput {
+        StageOutput {
+            value: Value::String(self.text),
+            cost_ms: self.cost_ms,
+            tokens: self.tokens as u32,
+        }
+    }
+}
+
+/// The prompt: the outputs of earlier stages and the input, as stable JSON, so
+/// that equal beginnings make equal prefixes.
+fn prompt_of(call: &StageCall) -> String {
+    let input = match &call.input {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
+    format!("{}\n{}", input, call.previous)
+}
+
+fn open_stream(
+    agents: &Agents,
+    call: &StageCall,
+    prompt: &str,
+    resume_from: Option<u64>,
+) -> Result<ureq::Response, CallFailure> {
+    if call.is_cancelled() {
+        return Err(CallFailure::Cancelled);
+    }
+    let remaining = call.remaining();
+    if remaining.is_zero() {
+        return Err(CallFailure::Deadline);
+    }
+    let body = CompletionBody {
+        request_id: &call.attempt,
+        model: call.model.as_deref().unwrap_or_default(),
+        prompt,
+        max_tokens: call.max_tokens,
+        priority: call.priority,
+        stream: true,
+        resume_from,
+    };
+    let encoded = serde_json::to_vec(&body).expect("JSON values encode");
+    let response = agents
+        .pooled
+        .post(&format!("http://{}/v1/completions", call.address))
+        .set("content-type", "application/json")
+        .timeout(remaining)
+        .send_bytes(&encoded);
+    match response {
+        Ok(response) => Ok(response),
+        Err(ureq::Error::Status(429 | 503 | 404, response)) => Err(CallFailure::NotRun(format!(
+            "status {}",
+            response.status()
+        ))),
+        Err(ureq::Error::Status(status, _)) => {
+            Err(CallFailure::Failed(format!("status {status}")))
+        }
+        Err(ureq::Error::Transport(error)) => Err(transport_failure(&error)),
+    }
+}
+
+fn read_stream(
+    response: ureq::Response,
+    call: &StageCall,
+    progress: &mut Progress<'_>,
+) -> Result<StreamEnd, CallFailure> {
+    let reader = BufReader::new(response.into_reader());
+    for line in reader.lines() {
+        if call.is_cancelled() {
+            return Err(CallFailure::Cancelled);
+        }
+        let line = match line {
+            Ok(line) => line,
+            Err(_) if call.remaining().is_zero() => return Err(CallFailure::Deadline),
+            Err(error) => return Ok(StreamEnd::Broken(error.to_string())),
+        };
+        let Some(data) = line.strip_prefix(DATA_FIELD) else {
+            continue;
+        };
+        if data.trim() == END_MARK {
+            // Only the engine's own end mark after its last token is an end.
+            return match progress.finished {
+                true => Ok(StreamEnd::Complete),
+                false => Ok(StreamEnd::Broken("end mark before the last token".into())),
+            };
+        }
+        take_event(data, call, progress)?;
+    }
+    Ok(StreamEnd::Broken("closed before the end mark".into()))
+}
+
+fn take_event(
+    data: &str,
+    call: &StageCall,
+    progress: &mut Progress<'_>,
+) -> Result<(), CallFailure> {
+    let event: Event =
+        serde_json::from_str(data).map_err(|error| CallFailure::Protocol(error.to_string()))?;
+    if event.id != call.attempt {
+        return Err(CallFailure::Protocol(format!(
+            "event is for attempt {}",
+            event.id
+        )));
+    }
+    let Some(choice) = event.choices.first() else {
+        return Err(CallFailure::Protocol("event without a choice".into()));
+    };
+    if let Some(usage) = event.usage {
+        progress.cost_ms += usage.cost_ms;
+    }
+    if choice.finish_reason.is_some() {
+        progress.finished = event.sequence == progress.tokens;
+        return Ok(());
+    }
+    if event.sequence < progress.tokens {
+        // Repeated after a resume.
+        return Ok(());
+    }
+    if event.sequence > progress.tokens {
+        return Err(CallFailure::Protocol(format!(
+            "token {} instead of {}",
+            event.sequence, progress.tokens
+        )));
+    }
+    progress.text.push_str(&choice.text);
+    progress.sink.token(event.sequence, &choice.text);
+    progress.tokens += 1;
+    Ok(())
+}
+
+/// Tells an engine that an attempt's stream is not wanted any more.
+pub fn cancel(agents: &Agents, address: &str, attempt: &str) {
+    let url = format!("http://{address}/v1/cancel");
+    let body = json!({ "request_id": attempt }).to_string();
+    // Best effort: the engine ends the stream by itself at its last token.
+    let _ = agents
+        .pooled
+        .post(&url)
+        .timeout(LOAD_TIMEOUT)
+        .send_string(&body);
+}
+
+/// Asks an engine for its load.
+pub fn load(agents: &Agents, address: &str) -> Result<EngineLoad, CallFailure> {
+    let url = format!("http://{address}/v1/load");
+    let response = agents
+        .pooled
+        .get(&url)
+        .timeout(LOAD_TIMEOUT)
+        .call()
+        .map_err(|error| CallFailure::Lost(error.to_string()))?;
+    let text = response
+        .into_string()
+        .map_err(|error| CallFailure::Lost(error.to_string()))?;
+    serde_json::from_str(&text).map_err(|error| CallFailure::Protocol(error.to_string()))
+}
--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,31 @@
+//! A replicated log as a pure state machine.
+//!
+//! A [`Replica`] is handed messages, ticks and the news of finished writes, and
+//! returns an [`Output`]: messages, writes and committed entries. It has no
+//! clock, no disk and no network of its own; time is a count of milliseconds
+//! of a local monotonic clock that the caller passes in.
+//!
+//! The algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-votes, check
+//! quorum, leader leases, learners and one-at-a-time membership changes.
+
+pub mod config;
+pub mod election;
+pub mod freshness;
+pub mod log;
+pub mod membership;
+pub mod message;
+pub mod progress;
+pub mod replica;
+pub mod replication;
+pub mod state_machine;
+
+pub use config::ConsensusConfig;
+pub use freshness::Freshness;
+pub use log::{Entry, HardState, Index, Payload, ReplicatedLog, Snapshot, SnapshotMeta, Term};
+pub use membership::{next_membership, JoinRequest, Membership, ReplicaId};
+pub use message::{Message, MessageBody};
+pub use state_machine::StateMachine;
+pub use replica::{Output, ProposeError, Replica, Role, StoredState, WriteBatch};
+
+/// Milliseconds of a local monotonic clock; comparable in one process only.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/consensus/src/replica.rs
@@ -0,0 +1,531 @@
+//! The replica: its state, its inputs and its output.
+
+use crate::config::ConsensusConfig;
+use crate::freshness::Freshness;
+use crate::log::{Entry, HardState, Index, Payload, ReplicatedLog, Snapshot, SnapshotMeta, Term};
+use crate::membership::{Membership, ReplicaId};
+use crate::message::{Message, MessageBody};
+use crate::progress::Progress;
+use crate::Millis;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// What a replica does in its term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks whether an election could be won.
+    PreCandidate,
+    /// Stands for election.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// What was read from the disk at start.
+#[derive(Clone, Debug, Default)]
+pub struct StoredState {
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// The newest snapshot.
+    pub snapshot: Snapshot,
+    /// Entries that follow a base at or before the snapshot's index.
+    pub entries: Vec<Entry>,
+}
+
+/// What must be written and synced, in this order of fields.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WriteBatch {
+    /// A snapshot that replaces all that was stored.
+    pub snapshot: Option<Snapshot>,
+    /// Entries to append; each replaces the entry at its index and all that
+    /// follow.
+    pub entries: Vec<Entry>,
+    /// Term and vote.
+    pub hard_state: Option<HardState>,
+}
+
+impl WriteBatch {
+    /// Whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.snapshot.is_none() && self.entries.is_empty() && self.hard_state.is_none()
+    }
+}
+
+/// What the caller must do after handing an input to a replica.
+#[derive(Clone, Debug, Default)]
+pub struct Output {
+    /// Messages to send at once.
+    pub messages: Vec<Message>,
+    /// To be written and synced; when done, call [`Replica::on_synced`].
+    pub writes: WriteBatch,
+    /// Messages to send only after `writes` and all earlier writes are synced:
+    /// they promise what the writes hold.
+    pub messages_after_sync: Vec<Message>,
+    /// A snapshot that the state machine must take over before `committed`.
+    pub restore: Option<Snapshot>,
+    /// Entries to apply, in order.
+    pub committed: Vec<Entry>,
+}
+
+/// Why a proposal was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProposeError {
+    /// This replica does not lead.
+    NotLeader,
+    /// A membership change is under way.
+    MembershipPending,
+}
+
+/// One replica of a group.
+pub struct Replica {
+    pub(crate) id: ReplicaId,
+    pub(crate) config: ConsensusConfig,
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) now: Millis,
+    pub(crate) hard_state: HardState,
+    pub(crate) role: Role,
+    pub(crate) leader: Option<ReplicaId>,
+    pub(crate) log: ReplicatedLog,
+    pub(crate) snapshot: Snapshot,
+    pub(crate) membership: Membership,
+    pub(crate) commit: Index,
+    pub(crate) applied: Index,
+    /// Last index synced to the own disk.
+    pub(crate) synced: Index,
+    /// Writes handed out and not yet synced: the last index of each.
+    pub(crate) writes_pending: VecDeque<Option<(Index, Term)>>,
+    pub(crate) election_deadline: Millis,
+    /// When a leader of the current term was last heard.
+    pub(crate) leader_heard_at: Option<Millis>,
+    pub(crate) votes: BTreeSet<ReplicaId>,
+    pub(crate) progress: BTreeMap<ReplicaId, Progress>,
+    pub(crate) round: u64,
+    /// When each unconfirmed round began.
+    pub(crate) rounds: VecDeque<(u64, Millis)>,
+    pub(crate) confirmed_at: Option<Millis>,
+    pub(crate) heartbeat_due: Millis,
+    pub(crate) handing_over: bool,
+    pub(crate) term_start_index: Index,
+    pub(crate) freshness: Freshness,
+    pub(crate) output: Output,
+}
+
+impl Replica {
+    /// A replica that continues from what was stored.
+    ///
+    /// `seed` randomises election timeouts; replicas should use different ones.
+    pub fn new(
+        id: ReplicaId,
+        config: ConsensusConfig,
+        stored: StoredState,
+        seed: u64,
+        now: Millis,
+    ) -> Self {
+        let meta = &stored.snapshot.meta;
+        let entries: Vec<Entry> = stored
+            .entries
+            .into_iter()
+            .filter(|entry| entry.index > meta.index)
+            .collect();
+        let log = ReplicatedLog::new(meta.index, meta.term, entries);
+        let membership = log
+            .last_membership()
+            .map_or_else(|| meta.membership.clone(), |(_, found)| found.clone());
+        let synced = log.last_index();
+        let snapshot_index = meta.index;
+        let mut replica = Self {
+            id,
+            config,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now,
+            hard_state: stored.hard_state,
+            role: Role::Follower,
+            leader: None,
+            log,
+            membership,
+            commit: snapshot_index,
+            applied: snapshot_index,
+            synced,
+            writes_pending: VecDeque::new(),
+            election_deadline: 0,
+            leader_heard_at: None,
+            votes: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            round: 0,
+            rounds: VecDeque::new(),
+            confirmed_at: None,
+            heartbeat_due: now,
+            handing_over: false,
+            term_start_index: 0,
+            freshness: Freshness::default(),
+            output: Output::default(),
+            snapshot: stored.snapshot,
+        };
+        replica.reset_election_deadline();
+        replica
+    }
+
+    /// Identity of this replica.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// Cluster that this replica belongs to.
+    pub fn cluster_id(&self) -> u64 {
+        self.snapshot.meta.cluster_id
+    }
+
+    /// Current role.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Current term.
+    pub fn term(&self) -> Term {
+        self.hard_state.term
+    }
+
+    /// The leader of the current term, where known.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.leader
+    }
+
+    /// The membership in force.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Index of the last committed entry.
+    pub fn commit_index(&self) -> Index {
+        self.commit
+    }
+
+    /// Index of the last entry handed out for application.
+    pub fn applied_index(&self) -> Index {
+        self.applied
+    }
+
+    /// Index of the last entry of the log.
+    pub fn last_index(&self) -> Index {
+        self.log.last_index()
+    }
+
+    /// Number of entries held in memory.
+    pub fn log_length(&self) -> usize {
+        self.log.len()
+    }
+
+    /// How far a learner is behind, where this replica leads and has heard it.
+    pub fn learner_lag(&self, learner: ReplicaId) -> Option<Index> {
+        let progress = self.progress.get(&learner)?;
+        progress.last_reply_at?;
+        Some(self.commit.saturating_sub(progress.match_index))
+    }
+
+    /// Lower bound on the age of the applied state. On a leader it is what a
+    /// quorum confirmed; on a follower what the leader's messages prove.
+    pub fn freshness(&self) -> Freshness {
+        if self.role == Role::Leader {
+            let as_of = if self.has_committed_in_term() {
+                self.confirmed_at
+            } else {
+                None
+            };
+            return Freshness { as_of };
+        }
+        self.freshness
+    }
+
+    /// Whether this replica leads and may answer reads at `now`: a quorum has
+    /// confirmed it within the lease and it knows all commits before its term.
+    pub fn may_serve_reads(&self, now: Millis) -> bool {
+        self.role == Role::Leader
+            && !self.handing_over
+            && self.has_committed_in_term()
+            && self
+                .confirmed_at
+                .is_some_and(|confirmed| now.saturating_sub(confirmed) < self.config.lease_duration)
+    }
+
+    pub(crate) fn has_committed_in_term(&self) -> bool {
+        self.commit >= self.term_start_index
+    }
+
+    /// Takes what the last inputs produced.
+    pub fn take_output(&mut self) -> Output {
+        let output = std::mem::take(&mut self.output);
+        if !output.writes.is_empty() || !output.messages_after_sync.is_empty() {
+            let last = output.writes.entries.last();
+            let snapshot = output.writes.snapshot.as_ref();
+            let reached = last
+                .map(|entry| (entry.index, entry.term))
+                .or_else(|| snapshot.map(|one| (one.meta.index, one.meta.term)));
+            self.writes_pending.push_back(reached);
+        }
+        output
+    }
+
+    /// Whether [`Replica::take_output`] would give something that needs
+    /// [`Replica::on_synced`].
+    pub fn has_output(&self) -> bool {
+        let output = &self.output;
+        !(output.messages.is_empty()
+            && output.writes.is_empty()
+            && output.messages_after_sync.is_empty()
+            && output.restore.is_none()
+            && output.committed.is_empty())
+    }
+
+    /// Tells that the oldest output with writes or messages after sync, not yet
+    /// reported, is synced.
+    pub fn on_synced(&mut self, now: Millis) {
+        self.now = self.now.max(now);
+        let Some(Some((index, term))) = self.writes_pending.pop_front() else {
+            return;
+        };
+        // The entry may have been replaced meanwhile by another leader's; only
+        // what is still in the log counts as synced.
+        if self.log.term_at(index) == Some(term) && index > self.synced {
+            self.synced = index;
+        }
+        if self.role == Role::Leader {
+            self.advance_commit();
+        }
+    }
+
+    /// Moves time on.
+    pub fn tick(&mut self, now: Millis) {
+        self.now = self.now.max(now);
+        if self.role == Role::Leader {
+            self.leader_tick();
+        } else if self.now >= self.election_deadline && self.membership.is_voter(self.id) {
+            self.start_pre_vote();
+        }
+    }
+
+    /// Proposes a command; the index and term identify it among the committed
+    /// entries.
+    pub fn propose(&mut self, command: Vec<u8>, now: Millis) -> Result<(Index, Term), ProposeError> {
+        self.now = self.now.max(now);
+        if self.role != Role::Leader {
+            return Err(ProposeError::NotLeader);
+        }
+        Ok(self.append_as_leader(Payload::Command(command)))
+    }
+
+    /// Proposes a membership that differs in one member.
+    pub fn propose_membership(
+        &mut self,
+        membership: Membership,
+        now: Millis,
+    ) -> Result<(Index, Term), ProposeError> {
+        self.now = self.now.max(now);
+        if self.role != Role::Leader {
+            return Err(ProposeError::NotLeader);
+        }
+        let pending = self
+            .log
+            .last_membership()
+            .is_some_and(|(index, _)| index > self.commit);
+        if pending || !self.has_committed_in_term() {
+            return Err(ProposeError::MembershipPending);
+        }
+        Ok(self.append_as_leader(Payload::Membership(membership)))
+    }
+
+    /// Takes over a snapshot made by the state machine at the applied index
+    /// and drops the entries that it covers, but for the last `keep`.
+    pub fn compact(&mut self, data: Vec<u8>, keep: usize) -> Snapshot {
+        let index = self.applied;
+        let term = self.log.term_at(index).unwrap_or(self.snapshot.meta.term);
+        let membership = self.membership_at(index);
+        self.snapshot = Snapshot {
+            meta: SnapshotMeta {
+                cluster_id: self.cluster_id(),
+                index,
+                term,
+                membership,
+            },
+            data,
+        };
+        let base = index.saturating_sub(keep as Index);
+        if base >= self.log.first_index() {
+            self.log.compact_to(base);
+        }
+        self.snapshot.clone()
+    }
+
+    /// The newest snapshot.
+    pub fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// Entries after the snapshot, for rewriting the stored log.
+    pub fn entries_after_snapshot(&self) -> Vec<Entry> {
+        self.log
+            .slice(self.snapshot.meta.index + 1, usize::MAX, usize::MAX)
+    }
+
+    /// Term and vote, for rewriting the stored log.
+    pub fn hard_state(&self) -> HardState {
+        self.hard_state
+    }
+
+    fn membership_at(&self, index: Index) -> Membership {
+        match self.log.last_membership() {
+            Some((found, _)) if found > index => self.previous_membership(index),
+            Some((_, membership)) => membership.clone(),
+            None => self.snapshot.meta.membership.clone(),
+        }
+    }
+
+    fn previous_membership(&self, index: Index) -> Membership {
+        let mut at = index;
+        while at >= self.log.first_index() {
+            if let Some(Payload::Membership(found)) = self.log.entry(at).map(|entry| &entry.payload)
+            {
+                return found.clone();
+            }
+            at -= 1;
+        }
+        self.snapshot.meta.membership.clone()
+    }
+
+    /// Handles a message of a peer.
+    pub fn step(&mut self, message: Message, now: Millis) {
+        self.now = self.now.max(now);
+        if message.to != self.id {
+            return;
+        }
+        if !self.admit_term(&message) {
+            return;
+        }
+        let from = message.from;
+        match message.body {
+            MessageBody::PreVote {
+                last_index,
+                last_term,
+            } => self.on_pre_vote(from, message.term, last_index, last_term),
+            MessageBody::PreVoteReply { granted } => self.on_pre_vote_reply(from, granted),
+            MessageBody::Vote {
+                last_index,
+                last_term,
+                forced: _,
+            } => self.on_vote(from, last_index, last_term),
+            MessageBody::VoteReply { granted } => self.on_vote_reply(from, granted),
+            MessageBody::Append {
+                previous_index,
+                previous_term,
+                entries,
+                commit,
+                freshness,
+            } => self.on_append(from, previous_index, previous_term, entries, commit, freshness),
+            MessageBody::AppendReply {
+                accepted,
+                match_index,
+                round,
+                sent_at,
+            } => self.on_append_reply(from, accepted, match_index, round, sent_at),
+            MessageBody::InstallSnapshot { snapshot, round } => {
+                self.on_install_snapshot(from, snapshot, round)
+            }
+            MessageBody::TimeoutNow => self.on_timeout_now(from),
+        }
+    }
+
+    /// Compares terms; false when the message is to be dropped.
+    fn admit_term(&mut self, message: &Message) -> bool {
+        let current = self.hard_state.term;
+        match &message.body {
+            // Pre-votes carry a term that nobody has entered yet.
+            MessageBody::PreVote { .. } => true,
+            MessageBody::PreVoteReply { .. } => message.term == current + 1,
+            // A vote request is ignored while a leader is alive, so that a
+            // replica that was cut off can't disturb it. This also makes the
+            // leader's lease sound.
+            MessageBody::Vote { forced: false, .. }
+                if message.term > current && self.leader_is_alive() =>
+            {
+                false
+            }
+            _ => {
+                if message.term > current {
+                    self.become_follower(message.term, None);
+                }
+                message.term == self.hard_state.term
+            }
+        }
+    }
+
+    pub(crate) fn leader_is_alive(&self) -> bool {
+        if self.role == Role::Leader {
+            return true;
+        }
+        self.leader_heard_at
+            .is_some_and(|heard| self.now.saturating_sub(heard) < self.config.election_timeout)
+    }
+
+    pub(crate) fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>) {
+        if term > self.hard_state.term {
+            self.hard_state = HardState {
+                term,
+                voted_for: None,
+            };
+            self.output.writes.hard_state = Some(self.hard_state);
+        }
+        if self.role == Role::Leader {
+            // A former leader's own bound on freshness stays true.
+            if let Some(confirmed) = self.confirmed_at.filter(|_| self.has_committed_in_term()) {
+                self.freshness.advance(confirmed);
+            }
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.votes.clear();
+        self.reset_election_deadline();
+    }
+
+    pub(crate) fn reset_election_deadline(&mut self) {
+        let shortest = self.config.election_timeout;
+        let timeout = self.random.gen_range(shortest..shortest * 2);
+        self.election_deadline = self.now + timeout;
+    }
+
+    pub(crate) fn send(&mut self, to: ReplicaId, term: Term, body: MessageBody) {
+        let from = self.id;
+        self.output.messages.push(Message {
+            from,
+            to,
+            term,
+            body,
+        });
+    }
+
+    pub(crate) fn send_after_sync(&mut self, to: ReplicaId, body: MessageBody) {
+        let message = Message {
+            from: self.id,
+            to,
+            term: self.hard_state.term,
+            body,
+        };
+        self.output.messages_after_sync.push(message);
+    }
+
+    pub(crate) fn set_commit(&mut self, index: Index) {
+        if index <= self.commit {
+            return;
+        }
+        self.commit = index;
+        while self.applied < self.commit {
+            let next = self.applied + 1;
+            let Some(entry) = self.log.entry(next) else {
+                break;
+            };
+            self.output.committed.push(entry.clone());
+            self.applied = next;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/membership_table.rs
@@ -0,0 +1,105 @@
+//! The leader's table of nodes, each with a lease renewed by its heartbeats.
+
+use crate::view::{merge_machine, ClusterView, MachineState, NodeReport, NodeStatus, ViewVersion};
+use silversail_consensus::Millis;
+use silversail_model::NodeName;
+use std::collections::BTreeMap;
+
+struct Lease {
+    status: NodeStatus,
+    expires_at: Millis,
+}
+
+/// Leases of nodes and states of machines. Kept by the leader only; a new
+/// leader starts with what its last view said, each lease renewed once, so that
+/// an election takes no node out of the answers.
+pub struct MembershipTable {
+    lease_duration: Millis,
+    leases: BTreeMap<NodeName, Lease>,
+    machines: Vec<MachineState>,
+    version: ViewVersion,
+}
+
+impl MembershipTable {
+    /// The table of a leader elected in `term` that knew `last_view`.
+    pub fn new(term: u64, last_view: &ClusterView, lease_duration: Millis, now: Millis) -> Self {
+        let leases = last_view
+            .nodes
+            .iter()
+            .map(|status| {
+                let lease = Lease {
+                    status: status.clone(),
+                    expires_at: now + lease_duration,
+                };
+                (status.node.clone(), lease)
+            })
+            .collect();
+        Self {
+            lease_duration,
+            leases,
+            machines: last_view.machines.clone(),
+            version: ViewVersion { term, sequence: 1 },
+        }
+    }
+
+    /// Takes in a heartbeat. A report of a former process of the same node,
+    /// held back on its way, does not displace the current one's lease: see
+    /// [`NodeReport::incarnation`], which grows with each start.
+    pub fn report(&mut self, report: &NodeReport, now: Millis) {
+        for machine in &report.machines {
+            if merge_machine(&mut self.machines, machine) {
+                self.version.sequence += 1;
+            }
+        }
+        let status = NodeStatus {
+            node: report.node.clone(),
+            incarnation: report.incarnation,
+            zone: report.zone.clone(),
+            caller_address: report.caller_address.clone(),
+            usable: report.serving && !report.stopping,
+        };
+        let expires_at = now + self.lease_duration;
+        match self.leases.get_mut(&report.node) {
+            Some(lease) if lease.status.incarnation > report.incarnation => {}
+            Some(lease) => {
+                lease.expires_at = expires_at;
+                if lease.status != status {
+                    lease.status = status;
+                    self.version.sequence += 1;
+                }
+            }
+            None => {
+                self.leases
+                    .insert(report.node.clone(), Lease { status, expires_at });
+                self.version.sequence += 1;
+            }
+        }
+    }
+
+    /// Drops the leases that ended.
+    pub fn expire(&mut self, now: Millis) {
+        let before = self.leases.len();
+        self.leases.retain(|_, lease| lease.expires_at > now);
+        if self.leases.len() != before {
+            self.version.sequence += 1;
+        }
+    }
+
+    /// The current view.
+    pub fn view(&self) -> ClusterView {
+        ClusterView {
+            version: self.version,
+            nodes: self
+                .leases
+                .values()
+                .map(|lease| lease.status.clone())
+                .collect(),
+            machines: self.machines.clone(),
+        }
+    }
+
+    /// Version of the current view.
+    pub fn version(&self) -> ViewVersion {
+        self.version
+    }
+}
--- /dev/null
+++ b/crates/control/src/view.rs
@@ -0,0 +1,105 @@
+//! The view of the cluster that flows from the leader to every node.
+
+use serde::{Deserialize, Serialize};
+use silversail_model::{NodeName, Revision};
+
+/// What a machine's state is, by some version of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineState {
+    /// IP address and port of the back end on the machine.
+    pub address: String,
+    /// Whether the machine is leaving.
+    pub leaving: bool,
+    /// Version of the platform's list that said so.
+    pub list_version: u64,
+}
+
+/// What a node tells of itself with each heartbeat.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeReport {
+    /// Its name.
+    pub node: NodeName,
+    /// Drawn anew at each start of the process.
+    pub incarnation: u64,
+    /// Zone from its settings.
+    pub zone: String,
+    /// Address at which callers reach it.
+    pub caller_address: String,
+    /// Whether it is stopping.
+    pub stopping: bool,
+    /// Whether its own configuration is current enough to serve.
+    pub serving: bool,
+    /// Revision in force on it.
+    pub revision: Option<Revision>,
+    /// Machines whose state the view lacks or has from an older list.
+    pub machines: Vec<MachineState>,
+}
+
+/// A node as the leader sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// Its name.
+    pub node: NodeName,
+    /// Its current process.
+    pub incarnation: u64,
+    /// Its zone.
+    pub zone: String,
+    /// Address at which callers reach it.
+    pub caller_address: String,
+    /// Whether callers may be sent to it.
+    pub usable: bool,
+}
+
+/// Orders views: a later leader's view is newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ViewVersion {
+    /// The leader's term.
+    pub term: u64,
+    /// Counts up in that term.
+    pub sequence: u64,
+}
+
+/// Live nodes and machine states.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ClusterView {
+    /// Its version.
+    pub version: ViewVersion,
+    /// Nodes with a lease.
+    pub nodes: Vec<NodeStatus>,
+    /// Machines that are, or were, leaving.
+    pub machines: Vec<MachineState>,
+}
+
+impl ClusterView {
+    /// Whether the process `incarnation` of `node` holds a lease.
+    pub fn is_live(&self, node: &NodeName, incarnation: u64) -> bool {
+        self.nodes
+            .iter()
+            .any(|one| one.node == *node && one.incarnation == incarnation)
+    }
+
+    /// Addresses that callers may use.
+    pub fn usable_nodes(&self) -> impl Iterator<Item = &NodeStatus> {
+        self.nodes.iter().filter(|one| one.usable)
+    }
+}
+
+/// Merges a machine's state into `machines`: a newer list wins, an older one
+/// never undoes a mark. True when something changed.
+pub fn merge_machine(machines: &mut Vec<MachineState>, state: &MachineState) -> bool {
+    let known = machines
+        .iter_mut()
+        .find(|known| known.address == state.address);
+    match known {
+        Some(known) if state.list_version > known.list_version => {
+            let changed = known.leaving != state.leaving;
+            *known = state.clone();
+            changed
+        }
+        Some(_) => false,
+        None => {
+            machines.push(state.clone());
+            true
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/calls.rs
@@ -0,0 +1,157 @@
+//! Threads that run back-end calls. A thread that ends a call waits for the
+//! next; a new one is started only when none waits.
+
+use crate::event::{Event, EventSender};
+use silversail_backend::{engine, service, Agents, StageCall, TokenSink};
+use std::io;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Instant;
+
+const STACK_BYTES: usize = 256 << 10;
+
+enum Job {
+    Stage {
+        attempt: u64,
+        call: StageCall,
+        is_generation: bool,
+        streams: bool,
+    },
+    Cancel {
+        address: String,
+        attempt: String,
+    },
+}
+
+/// Runs calls and reports to the main thread.
+#[derive(Clone)]
+pub struct CallRunner {
+    agents: Agents,
+    events: EventSender,
+    jobs: Sender<Job>,
+    waiting_jobs: Arc<Mutex<Receiver<Job>>>,
+    /// Threads that wait for a job, less jobs that wait for a thread.
+    idle: Arc<AtomicUsize>,
+}
+
+impl CallRunner {
+    /// A runner without threads.
+    pub fn new(agents: Agents, events: EventSender) -> Self {
+        let (jobs, waiting_jobs) = channel();
+        Self {
+            agents,
+            events,
+            jobs,
+            waiting_jobs: Arc::new(Mutex::new(waiting_jobs)),
+            idle: Arc::new(AtomicUsize::new(0)),
+        }
+    }
+
+    /// Starts a stage call. `streams` tells whether its tokens are wanted one
+    /// by one.
+    pub fn start(
+        &self,
+        attempt: u64,
+        call: StageCall,
+        is_generation: bool,
+        streams: bool,
+    ) -> io::Result<()> {
+        self.submit(Job::Stage {
+            attempt,
+            call,
+            is_generation,
+            streams,
+        })
+    }
+
+    /// Tells an engine that a stream is not wanted any more.
+    pub fn cancel_generation(&self, address: String, attempt: String) {
+        // Without a thread the engine ends the stream by itself.
+        let _ = self.submit(Job::Cancel { address, attempt });
+    }
+
+    fn submit(&self, job: Job) -> io::Result<()> {
+        let reserved = self
+            .idle
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |idle| {
+                idle.checked_sub(1)
+            });
+        if reserved.is_err() {
+            self.start_thread()?;
+        }
+        self.jobs.send(job).map_err(io::Error::other)
+    }
+
+    fn start_thread(&self) -> io::Result<()> {
+        let runner = self.clone();
+        thread::Builder::new()
+            .name("call".into())
+            .stack_size(STACK_BYTES)
+            .spawn(move || runner.run())
+            .map(drop)
+    }
+
+    fn run(&self) {
+        loop {
+            let job = match self.waiting_jobs.lock() {
+                Ok(jobs) => jobs.recv(),
+                Err(_) => return,
+            };
+            match job {
+                Ok(job) => self.run_job(job),
+                Err(_) => return,
+            }
+            self.idle.fetch_add(1, Ordering::AcqRel);
+        }
+    }
+
+    fn run_job(&self, job: Job) {
+        match job {
+            Job::Cancel { address, attempt } => engine::cancel(&self.agents, &address, &attempt),
+            Job::Stage {
+                attempt,
+                call,
+                is_generation,
+                streams,
+            } => {
+                let started = Instant::now();
+                let result = if is_generation {
+                    let mut sink = EventSink {
+                        attempt,
+                        events: streams.then_some(&self.events),
+                    };
+                    engine::generate(&self.agents, &call, &mut sink)
+                } else {
+                    service::call(&self.agents, &call)
+                };
+                let event = Event::CallEnded {
+                    attempt,
+                    service: started.elapsed(),
+                    result,
+                };
+                // The main thread is gone only when the process ends.
+                let _ = self.events.send(event);
+            }
+        }
+    }
+}
+
+/// Sends tokens to the main thread, where they are wanted.
+struct EventSink<'a> {
+    attempt: u64,
+    events: Option<&'a EventSender>,
+}
+
+impl TokenSink for EventSink<'_> {
+    fn token(&mut self, sequence: u64, text: &str) {
+        if let Some(events) = self.events {
+            let _ = events.send(Event::Token {
+                attempt: self.attempt,
+                sequence,
+                text: text.to_owned(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,21 @@
+//! The daemon: `stakker` actors that wire the pure packages to sockets, disks
+//! and threads. One thread runs all actors; other threads talk to it through
+//! [`event::Event`].
+
+pub mod calls;
+pub mod clock;
+pub mod event;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod outbox;
+pub mod pollers;
+pub mod replica;
+pub mod requests;
+pub mod session;
+pub mod settings;
+pub mod stop;
+pub mod surface;
+
+pub use node::{Node, NodeError};
+pub use settings::{Settings, SettingsError};
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,150 @@
+//! Counters and histograms of one process.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, CounterVec, Opts,
+    Registry, TextEncoder,
+};
+
+/// All metrics; the names are part of the operators' surface.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by pipeline, outcome and code.
+    pub requests: IntCounterVec,
+    /// Requests refused, by reason.
+    pub refusals: IntCounterVec,
+    /// Stage calls repeated, by reason.
+    pub retries: IntCounterVec,
+    /// Answers that came after their request had ended or moved on.
+    pub late_answers: IntCounterVec,
+    /// Time from arrival to the whole answer, in seconds.
+    pub request_seconds: HistogramVec,
+    /// Time of stage calls, in seconds.
+    pub stage_seconds: HistogramVec,
+    /// Time that stages waited for a back end, in seconds.
+    pub queue_seconds: HistogramVec,
+    /// What back ends say calls consumed, in their milliseconds.
+    pub stage_cost: CounterVec,
+    /// Tokens generated.
+    pub tokens: IntCounterVec,
+    /// Requests under way.
+    pub open_requests: IntGauge,
+    /// Stages waiting for a back end.
+    pub queued_stages: IntGauge,
+    /// Configuration revision in force.
+    pub revision: IntGauge,
+    /// Messages to peers by result.
+    pub peer_sent: IntCounterVec,
+    /// Messages from peers by result.
+    pub peer_received: IntCounterVec,
+    /// Bytes from peers.
+    pub peer_received_bytes: IntCounterVec,
+    /// Whether this process leads a group.
+    pub leads: IntGaugeVec,
+    /// Proposals by group and result.
+    pub proposals: IntCounterVec,
+}
+
+const LATENCY_BUCKETS: &[f64] = &[
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 1.5, 2.0, 5.0,
+];
+
+impl Metrics {
+    /// Metrics registered in a registry of their own.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let metric = IntCounterVec::new(Opts::new(name, help), labels).expect(VALID);
+            registry.register(Box::new(metric.clone())).expect(VALID);
+            metric
+        };
+        let histogram = |name: &str, help: &str, labels: &[&str]| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let metric = HistogramVec::new(options, labels).expect(VALID);
+            registry.register(Box::new(metric.clone())).expect(VALID);
+            metric
+        };
+        let gauge = |name: &str, help: &str| {
+            let metric = IntGauge::new(name, help).expect(VALID);
+            registry.register(Box::new(metric.clone())).expect(VALID);
+            metric
+        };
+        let stage_cost = CounterVec::new(
+            Opts::new("silversail_stage_cost_ms_total", "Back-end milliseconds consumed"),
+            &["kind", "tenant", "model"],
+        )
+        .expect(VALID);
+        registry.register(Box::new(stage_cost.clone())).expect(VALID);
+        let leads = IntGaugeVec::new(
+            Opts::new("silversail_leads", "1 where this process leads the group"),
+            &["group"],
+        )
+        .expect(VALID);
+        registry.register(Box::new(leads.clone())).expect(VALID);
+        Self {
+            requests: counter(
+                "silversail_requests_total",
+                "Requests answered",
+                &["pipeline", "outcome", "code"],
+            ),
+            refusals: counter("silversail_refusals_total", "Requests refused", &["reason"]),
+            retries: counter("silversail_retries_total", "Stage calls repeated", &["reason"]),
+            late_answers: counter(
+                "silversail_late_answers_total",
+                "Back-end answers dropped as late",
+                &["kind"],
+            ),
+            request_seconds: histogram(
+                "silversail_request_seconds",
+                "Arrival to whole answer",
+                &["pipeline", "outcome"],
+            ),
+            stage_seconds: histogram("silversail_stage_seconds", "Stage calls", &["kind"]),
+            queue_seconds: histogram(
+                "silversail_stage_queue_seconds",
+                "Wait for a back end",
+                &["kind"],
+            ),
+            stage_cost,
+            tokens: counter("silversail_tokens_total", "Tokens generated", &["model"]),
+            open_requests: gauge("silversail_open_requests", "Requests under way"),
+            queued_stages: gauge("silversail_queued_stages", "Stages waiting for a back end"),
+            revision: gauge("silversail_configuration_revision", "Revision in force"),
+            peer_sent: counter("silversail_peer_sent_total", "Messages to peers", &["result"]),
+            peer_received: counter(
+                "silversail_peer_received_total",
+                "Messages from peers",
+                &["result"],
+            ),
+            peer_received_bytes: counter(
+                "silversail_peer_received_bytes_total",
+                "Bytes from peers",
+                &["kind"],
+            ),
+            leads,
+            proposals: counter(
+                "silversail_proposals_total",
+                "Proposals to replication groups",
+                &["group", "result"],
+            ),
+            registry,
+        }
+    }
+
+    /// All metrics in the text format.
+    pub fn render(&self) -> Vec<u8> {
+        let mut buffer = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buffer)
+            .expect("encoding into memory does not fail");
+        buffer
+    }
+}
+
+/// Metric names and labels are constants of the program.
+const VALID: &str = "metric definitions are valid and unique";
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/pollers.rs
@@ -0,0 +1,68 @@
+//! Threads that read engines' loads and the platform's list at intervals.
+
+use crate::event::{Event, EventSender};
+use silversail_backend::{engine, platform, Agents};
+use silversail_model::{BackendName, NodeName};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Engines to ask, renewed when the configuration changes.
+pub type EngineTargets = Arc<Mutex<Vec<(BackendName, String)>>>;
+
+/// Threads that share the engines.
+const LOAD_THREADS: usize = 4;
+
+/// Starts asking engines for their loads.
+pub fn start_load_pollers(
+    agents: Agents,
+    targets: EngineTargets,
+    interval: Duration,
+    events: EventSender,
+) {
+    for part in 0..LOAD_THREADS {
+        let (agents, targets, events) = (agents.clone(), targets.clone(), events.clone());
+        spawn("load-poller", move || loop {
+            let mine: Vec<(BackendName, String)> = match targets.lock() {
+                Ok(targets) => targets.iter().skip(part).step_by(LOAD_THREADS).cloned().collect(),
+                Err(_) => return,
+            };
+            for (backend, address) in mine {
+                if let Ok(load) = engine::load(&agents, &address) {
+                    if events.send(Event::EngineLoad { backend, load }).is_err() {
+                        return;
+                    }
+                }
+            }
+            thread::sleep(interval);
+        });
+    }
+}
+
+/// Starts reading the platform's list.
+pub fn start_platform_poller(
+    agents: Agents,
+    address: String,
+    node: NodeName,
+    interval: Duration,
+    events: EventSender,
+) {
+    spawn("platform-poller", move || loop {
+        match platform::machines(&agents, &address, node.as_str()) {
+            Ok(list) => {
+                if events.send(Event::MachineList(list)).is_err() {
+                    return;
+                }
+            }
+            Err(failure) => log::debug!(event = "platform_list_failed"; "{failure}"),
+        }
+        thread::sleep(interval);
+    });
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) {
+    thread::Builder::new()
+        .name(name.into())
+        .spawn(run)
+        .expect("a thread can be started at process start");
+}
--- /dev/null
+++ b/crates/daemon/src/replica/mod.rs
@@ -0,0 +1,12 @@
+//! The replicas that a process holds, and the way to propose to a group.
+
+pub mod actor;
+pub mod formation;
+pub mod log_writer;
+pub mod proposer;
+pub mod status;
+
+pub use actor::{ReplicaActor, ReplicaSetup};
+pub use log_writer::{LogWriter, StorageWriter};
+pub use proposer::{ProposalOutcome, ProposerActor};
+pub use status::{GroupStatus, SharedStatus};
--- /dev/null
+++ b/crates/daemon/src/replica/proposer.rs
@@ -0,0 +1,180 @@
+//! Brings commands to a group's leader and their replies back.
+
+use crate::metrics::Metrics;
+use crate::outbox::SharedOutbox;
+use silversail_model::NodeName;
+use silversail_peer::{GroupId, GroupMessage, PeerMessage, ProposeResult};
+use stakker::{after, ret, Ret, CX};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Interval at which unanswered proposals are looked at.
+const TICK: Duration = Duration::from_millis(50);
+/// Silence after which a proposal goes to another voter.
+const RESEND_AFTER: Duration = Duration::from_millis(600);
+/// Wait after a voter said that it knows no leader.
+const NO_LEADER_WAIT: Duration = Duration::from_millis(80);
+
+/// What became of a command.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ProposalOutcome {
+    /// Applied, with the state machine's reply.
+    Applied(Vec<u8>),
+    /// No answer in time: it may or may not be applied, now or later.
+    Unavailable,
+}
+
+struct Outstanding {
+    command: Vec<u8>,
+    deadline: Instant,
+    resend_at: Instant,
+    ret: Ret<ProposalOutcome>,
+}
+
+/// Proposes to one group. A command may be committed more than once, so
+/// commands must be idempotent.
+pub struct ProposerActor {
+    group: GroupId,
+    voters: Vec<NodeName>,
+    target: usize,
+    outbox: SharedOutbox,
+    metrics: Arc<Metrics>,
+    next_proposal: u64,
+    outstanding: BTreeMap<u64, Outstanding>,
+    ticking: bool,
+}
+
+impl ProposerActor {
+    /// A proposer to `group`, whose replicas run on `voters`.
+    pub fn init(
+        _: CX![],
+        group: GroupId,
+        voters: Vec<NodeName>,
+        outbox: SharedOutbox,
+        metrics: Arc<Metrics>,
+    ) -> Option<Self> {
+        // A number of the process in the high bits, so that answers to a former
+        // process of this node are not taken for this one's.
+        let next_proposal = outbox.borrow().incarnation() << 20;
+        Some(Self {
+            group,
+            voters,
+            target: 0,
+            outbox,
+            metrics,
+            next_proposal,
+            outstanding: BTreeMap::new(),
+            ticking: false,
+        })
+    }
+
+    /// Proposes `command`; `ret` gets the outcome within `timeout`.
+    pub fn propose(
+        &mut self,
+        cx: CX![],
+        command: Vec<u8>,
+        timeout: Duration,
+        ret: Ret<ProposalOutcome>,
+    ) {
+        self.next_proposal += 1;
+        let proposal = self.next_proposal;
+        let outstanding = Outstanding {
+            command,
+            deadline: cx.now() + timeout,
+            resend_at: cx.now() + RESEND_AFTER,
+            ret,
+        };
+        self.outstanding.insert(proposal, outstanding);
+        self.send(proposal);
+        self.start_ticking(cx);
+    }
+
+    fn start_ticking(&mut self, cx: CX![]) {
+        if !self.ticking {
+            self.ticking = true;
+            after!(TICK, [cx], tick());
+        }
+    }
+
+    fn send(&mut self, proposal: u64) {
+        let Some(outstanding) = self.outstanding.get(&proposal) else {
+            return;
+        };
+        let message = PeerMessage::Group {
+            group: self.group,
+            message: GroupMessage::Propose {
+                proposal,
+                command: outstanding.command.clone(),
+            },
+        };
+        let target = &self.voters[self.target % self.voters.len()];
+        self.outbox.borrow_mut().send(target, message);
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.ticking = false;
+        let now = cx.now();
+        let ended: Vec<u64> = self.due(|one| one.deadline <= now);
+        for proposal in ended {
+            self.finish(proposal, ProposalOutcome::Unavailable, "unavailable");
+        }
+        let silent: Vec<u64> = self.due(|one| one.resend_at <= now);
+        if !silent.is_empty() {
+            self.target = (self.target + 1) % self.voters.len();
+        }
+        for proposal in silent {
+            if let Some(outstanding) = self.outstanding.get_mut(&proposal) {
+                outstanding.resend_at = now + RESEND_AFTER;
+            }
+            self.send(proposal);
+        }
+        if !self.outstanding.is_empty() {
+            self.start_ticking(cx);
+        }
+    }
+
+    fn due(&self, is_due: impl Fn(&Outstanding) -> bool) -> Vec<u64> {
+        self.outstanding
+            .iter()
+            .filter(|(_, one)| is_due(one))
+            .map(|(proposal, _)| *proposal)
+            .collect()
+    }
+
+    /// Handles a voter's answer.
+    pub fn reply(&mut self, cx: CX![], proposal: u64, result: ProposeResult) {
+        let Some(outstanding) = self.outstanding.get_mut(&proposal) else {
+            return;
+        };
+        match result {
+            ProposeResult::Applied(reply) => {
+                self.finish(proposal, ProposalOutcome::Applied(reply), "applied");
+            }
+            ProposeResult::Replaced => {
+                outstanding.resend_at = cx.now();
+            }
+            ProposeResult::NotLeader(Some(leader)) => {
+                outstanding.resend_at = cx.now() + RESEND_AFTER;
+                if let Some(position) = self.voters.iter().position(|voter| *voter == leader) {
+                    self.target = position;
+                }
+                self.send(proposal);
+            }
+            ProposeResult::NotLeader(None) => {
+                outstanding.resend_at = cx.now() + NO_LEADER_WAIT;
+            }
+        }
+    }
+
+    fn finish(&mut self, proposal: u64, outcome: ProposalOutcome, label: &str) {
+        if let Some(outstanding) = self.outstanding.remove(&proposal) {
+            let group = self.group.to_string();
+            self.metrics
+                .proposals
+                .with_label_values(&[group.as_str(), label])
+                .inc();
+            ret!([outstanding.ret], outcome);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/requests/admit.rs
@@ -0,0 +1,166 @@
+//! Phase 2: freshness, limits of the node and the tenant, and admission.
+
+use crate::requests::active::RequestNumber;
+use crate::requests::actor::RequestActor;
+use crate::requests::pools::calls_per_node;
+use silversail_model::{ResultCode, TenantLimits};
+use silversail_routing::{AdmissionDecision, LimitViolation, PoolId, StageEstimate};
+use stakker::CX;
+
+/// When to come back after a refusal for a reason that soon passes, in
+/// milliseconds.
+const SHORT_RETRY_AFTER_MS: u64 = 500;
+
+/// A refusal at entry.
+struct Refusal {
+    code: ResultCode,
+    message: &'static str,
+    retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    fn soon(code: ResultCode, message: &'static str) -> Self {
+        Self {
+            code,
+            message,
+            retry_after_ms: Some(SHORT_RETRY_AFTER_MS),
+        }
+    }
+}
+
+impl RequestActor {
+    pub(crate) fn admit(&mut self, cx: CX![], number: RequestNumber) {
+        match self.check_admission(cx, number) {
+            Ok(()) => self.take_ownership(cx, number),
+            Err(refusal) => self.give_up(
+                cx,
+                number,
+                refusal.code,
+                refusal.message,
+                refusal.retry_after_ms,
+            ),
+        }
+    }
+
+    fn check_admission(&mut self, cx: CX![], number: RequestNumber) -> Result<(), Refusal> {
+        self.check_node(cx)?;
+        self.check_tenant(cx, number)?;
+        self.check_expected_finish(cx, number)
+    }
+
+    fn check_node(&self, cx: CX![]) -> Result<(), Refusal> {
+        let now = self.now_millis(cx);
+        let settings = &self.setup.settings;
+        let state = self.setup.state.borrow();
+        if state.refusing {
+            return Err(Refusal::soon(ResultCode::Stopping, "this node is stopping"));
+        }
+        if !state.is_current(now, settings.timing.freshness_lease_ms) {
+            let message = "this node can't confirm that its configuration is current";
+            return Err(Refusal::soon(ResultCode::NotCurrent, message));
+        }
+        if self.requests.len() > settings.limits.open_requests {
+            let message = "this node has as many open requests as it takes";
+            return Err(Refusal::soon(ResultCode::TooManyRequests, message));
+        }
+        Ok(())
+    }
+
+    fn check_tenant(&mut self, cx: CX![], number: RequestNumber) -> Result<(), Refusal> {
+        let now = self.now_millis(cx);
+        let Some(request) = self.requests.get_mut(&number) else {
+            return Ok(());
+        };
+        let limits = {
+            let state = self.setup.state.borrow();
+            let tenants = &state.configuration.configuration().tenants;
+            tenants
+                .get(&request.tenant)
+                .map_or_else(TenantLimits::default, |tenant| tenant.limits.clone())
+        };
+        match self.limiter.admit(&request.tenant, &limits, now) {
+            Ok(()) => {
+                request.counted = true;
+                Ok(())
+            }
+            Err(LimitViolation::Concurrency) => Err(Refusal::soon(
+                ResultCode::TenantConcurrencyLimit,
+                "the tenant's limit of concurrent requests is reached",
+            )),
+            Err(LimitViolation::Rate { retry_after_ms }) => Err(Refusal {
+                code: ResultCode::TenantRateLimit,
+                message: "the tenant's limit of requests a second is reached",
+                retry_after_ms: Some(retry_after_ms),
+            }),
+        }
+    }
+
+    fn check_expected_finish(&mut self, cx: CX![], number: RequestNumber) -> Result<(), Refusal> {
+        let estimates = self.estimate(number);
+        let remaining = match self.requests.get(&number) {
+            Some(request) => request.deadline.saturating_duration_since(cx.now()),
+            None => return Ok(()),
+        };
+        let decision = self
+            .admission
+            .decide(&estimates, remaining.as_secs_f64() * 1_000.0);
+        match decision {
+            AdmissionDecision::NoCapacity => {
+                let message = "no back end may serve a stage";
+                return Err(Refusal::soon(ResultCode::NoBackend, message));
+            }
+            AdmissionDecision::Refuse { retry_after_ms } if self.setup.settings.routing.admission => {
+                return Err(Refusal {
+                    code: ResultCode::DeadlineUnreachable,
+                    message: "the whole answer can't be expected within the deadline",
+                    retry_after_ms: Some(retry_after_ms),
+                });
+            }
+            AdmissionDecision::Refuse { .. } | AdmissionDecision::Admit => {}
+        }
+        for estimate in &estimates {
+            self.admission.add(*estimate);
+        }
+        if let Some(request) = self.requests.get_mut(&number) {
+            request.estimates = estimates;
+        }
+        Ok(())
+    }
+
+    /// Pools and expected service times of a request's stages; renews the
+    /// pools' capacities on the way.
+    fn estimate(&mut self, number: RequestNumber) -> Vec<StageEstimate> {
+        let Some(request) = self.requests.get(&number) else {
+            return Vec::new();
+        };
+        let pipeline = request.pipeline.clone();
+        let mut estimates = Vec::with_capacity(pipeline.stages.len());
+        for (position, stage) in pipeline.stages.iter().enumerate() {
+            let pool = {
+                let state = self.setup.state.borrow();
+                self.pools
+                    .pool_of(&state.configuration, &pipeline.name, position, stage)
+            };
+            let capacity = self.pool_capacity(pool);
+            self.admission.set_capacity(pool, capacity);
+            let service_ms = self.pools.service_ms(&pipeline.name, position, stage);
+            estimates.push(StageEstimate { pool, service_ms });
+        }
+        estimates
+    }
+
+    /// How many calls this node may have at a pool.
+    pub(crate) fn pool_capacity(&self, pool: PoolId) -> u32 {
+        let state = self.setup.state.borrow();
+        let (nodes, _) = state.share(&self.setup.node);
+        let slot_share = self.setup.settings.routing.slot_share;
+        let backends = &state.configuration.configuration().backends;
+        self.pools
+            .members(pool)
+            .iter()
+            .filter_map(|name| backends.get(name))
+            .filter(|backend| !state.is_leaving(&backend.address))
+            .map(|backend| calls_per_node(backend, nodes, slot_share))
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/session/mod.rs
@@ -0,0 +1,11 @@
+//! How nodes keep in step with the control group: each node has a session with
+//! one voter, its relay, which passes configuration and the view down and
+//! heartbeats up. No node talks to all others.
+
+pub mod node_state;
+pub mod relay;
+pub mod session_actor;
+
+pub use node_state::{NodeState, SharedNodeState};
+pub use relay::{RelayActor, RelaySetup};
+pub use session_actor::{SessionActor, SessionSetup};
--- /dev/null
+++ b/crates/daemon/src/session/node_state.rs
@@ -0,0 +1,91 @@
+//! What a node has in force: configuration, view, machine states and how
+//! current they are.
+
+use silversail_consensus::{Freshness, Millis};
+use silversail_control::view::merge_machine;
+use silversail_control::{AppliedConfiguration, ClusterView, MachineState};
+use silversail_model::NodeName;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// The state of one node; written by its session, read by its other actors.
+#[derive(Default)]
+pub struct NodeState {
+    /// Configuration in force.
+    pub configuration: AppliedConfiguration,
+    /// Newest view.
+    pub view: ClusterView,
+    /// How current the configuration is known to be.
+    pub freshness: Freshness,
+    /// Machine states, of the own list and of the view.
+    machines: BTreeMap<String, MachineState>,
+    /// Whether the process is stopping and left the answers.
+    pub stopping: bool,
+    /// Whether new requests are refused, as the process stops.
+    pub refusing: bool,
+}
+
+/// Node state shared inside a process.
+pub type SharedNodeState = Rc<RefCell<NodeState>>;
+
+impl NodeState {
+    /// Whether the configuration is known to be current within `lease`.
+    pub fn is_current(&self, now: Millis, lease: Millis) -> bool {
+        self.configuration.revision().is_some()
+            && self.freshness.age(now).is_some_and(|age| age <= lease)
+    }
+
+    /// Whether the machine at `address` is leaving, by any list seen.
+    pub fn is_leaving(&self, address: &str) -> bool {
+        self.machines
+            .get(address)
+            .is_some_and(|machine| machine.leaving)
+    }
+
+    /// Takes in a machine's state; an older list never undoes a newer one's
+    /// mark. True when the mark changed.
+    pub fn merge_machine(&mut self, state: &MachineState) -> bool {
+        let mut known: Vec<MachineState> = self
+            .machines
+            .remove(&state.address)
+            .into_iter()
+            .collect();
+        let was_leaving = known.first().is_some_and(|machine| machine.leaving);
+        merge_machine(&mut known, state);
+        let Some(merged) = known.pop() else {
+            return false;
+        };
+        let is_leaving = merged.leaving;
+        self.machines.insert(merged.address.clone(), merged);
+        was_leaving != is_leaving
+    }
+
+    /// States that the view lacks, or has from an older list.
+    pub fn machines_unknown_to_view(&self) -> Vec<MachineState> {
+        let known: BTreeMap<&str, &MachineState> = self
+            .view
+            .machines
+            .iter()
+            .map(|machine| (machine.address.as_str(), machine))
+            .collect();
+        self.machines
+            .values()
+            .filter(|machine| match known.get(machine.address.as_str()) {
+                Some(seen) => {
+                    seen.list_version < machine.list_version && seen.leaving != machine.leaving
+                }
+                None => machine.leaving,
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// How many usable nodes there are and this node's rank among them.
+    pub fn share(&self, node: &NodeName) -> (u32, u32) {
+        let usable: Vec<&NodeName> = self.view.usable_nodes().map(|one| &one.node).collect();
+        let rank = usable.iter().position(|one| *one == node);
+        let count = usable.len().max(1) as u32;
+        (count, rank.unwrap_or(0) as u32)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/session/relay.rs
@@ -0,0 +1,222 @@
+//! The relay: serves the sessions of the nodes that chose this voter, and, on
+//! the leader of the control group, keeps the membership table.
+
+use crate::clock::Clock;
+use crate::outbox::SharedOutbox;
+use crate::replica::SharedStatus;
+use silversail_consensus::Millis;
+use silversail_control::{
+    ClusterView, ConfigurationState, MembershipTable, NodeReport, ViewVersion,
+};
+use silversail_model::{NodeName, Revision};
+use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply};
+use stakker::{after, CX};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Interval of reports to the leader and of views to the relays.
+const TICK: Duration = Duration::from_millis(200);
+/// Ticks after which an unchanged view is sent again.
+const TICKS_PER_VIEW: u64 = 5;
+/// A session without a heartbeat for so long gets no pushes, in milliseconds.
+const SESSION_SILENCE: Millis = 5_000;
+
+/// What a relay is made of.
+pub struct RelaySetup {
+    /// All voters.
+    pub voters: Vec<NodeName>,
+    /// The replicated configuration.
+    pub machine: Rc<RefCell<ConfigurationState>>,
+    /// Status of the own replica of the control group.
+    pub status: SharedStatus,
+    /// Sending.
+    pub outbox: SharedOutbox,
+    /// How long a node stays in the view without a heartbeat.
+    pub node_lease: Millis,
+    /// Time.
+    pub clock: Clock,
+}
+
+struct Session {
+    revision: Option<Revision>,
+    heard_at: Millis,
+}
+
+/// Serves sessions.
+pub struct RelayActor {
+    setup: RelaySetup,
+    sessions: BTreeMap<NodeName, Session>,
+    pending_reports: BTreeMap<NodeName, NodeReport>,
+    view: ClusterView,
+    table: Option<(u64, MembershipTable)>,
+    sent_version: ViewVersion,
+    ticks: u64,
+}
+
+impl RelayActor {
+    /// Starts without sessions.
+    pub fn init(cx: CX![], setup: RelaySetup) -> Option<Self> {
+        after!(TICK, [cx], tick());
+        Some(Self {
+            setup,
+            sessions: BTreeMap::new(),
+            pending_reports: BTreeMap::new(),
+            view: ClusterView::default(),
+            table: None,
+            sent_version: ViewVersion::default(),
+            ticks: 0,
+        })
+    }
+
+    fn now(&self, cx: CX![]) -> Millis {
+        self.setup.clock.millis(cx.now())
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        self.ticks += 1;
+        let now = self.now(cx);
+        self.follow_leadership(now);
+        let reports = std::mem::take(&mut self.pending_reports);
+        if self.table.is_some() {
+            self.lead(reports, now);
+        } else {
+            self.forward(reports);
+        }
+    }
+
+    /// Keeps a membership table exactly while the own replica leads.
+    fn follow_leadership(&mut self, now: Millis) {
+        let (is_leader, term) = {
+            let status = self.setup.status.borrow();
+            (status.is_leader, status.term)
+        };
+        if !is_leader {
+            self.table = None;
+            return;
+        }
+        let is_current = self.table.as_ref().is_some_and(|(of, _)| *of == term);
+        if !is_current {
+            let table = MembershipTable::new(term, &self.view, self.setup.node_lease, now);
+            self.table = Some((term, table));
+        }
+    }
+
+    fn lead(&mut self, reports: BTreeMap<NodeName, NodeReport>, now: Millis) {
+        let Some((_, table)) = &mut self.table else {
+            return;
+        };
+        for report in reports.values() {
+            table.report(report, now);
+        }
+        table.expire(now);
+        let changed = table.version() != self.sent_version;
+        if changed {
+            self.view = table.view();
+        }
+        if changed || self.ticks.is_multiple_of(TICKS_PER_VIEW) {
+            self.sent_version = self.view.version;
+            self.send_to_relays();
+        }
+    }
+
+    fn send_to_relays(&mut self) {
+        let mut outbox = self.setup.outbox.borrow_mut();
+        let own = outbox.node().clone();
+        for voter in self.setup.voters.iter().filter(|voter| **voter != own) {
+            let message = SessionMessage::View(self.view.clone());
+            outbox.send(voter, PeerMessage::Session(message));
+        }
+    }
+
+    fn forward(&mut self, reports: BTreeMap<NodeName, NodeReport>) {
+        let leader = self.setup.status.borrow().leader.clone();
+        let Some(leader) = leader.filter(|_| !reports.is_empty()) else {
+            return;
+        };
+        let message = SessionMessage::Reports(reports.into_values().collect());
+        let leader = NodeName(leader);
+        self.setup
+            .outbox
+            .borrow_mut()
+            .send(&leader, PeerMessage::Session(message));
+    }
+
+    /// A node's heartbeat.
+    pub fn heartbeat(&mut self, cx: CX![], from: NodeName, heartbeat: SessionHeartbeat) {
+        let now = self.now(cx);
+        let revision = heartbeat.report.revision;
+        let session = Session {
+            revision,
+            heard_at: now,
+        };
+        self.sessions.insert(from.clone(), session);
+        let reply = self.reply(&heartbeat, now);
+        if let Some(update) = &reply.update {
+            log::debug!(event = "session_update", to = from.as_str(); "{update:?}");
+            if let Some(session) = self.sessions.get_mut(&from) {
+                session.revision = Some(reply.revision);
+            }
+        }
+        self.pending_reports.insert(from.clone(), heartbeat.report);
+        let message = PeerMessage::Session(SessionMessage::Reply(reply));
+        self.setup.outbox.borrow_mut().send(&from, message);
+    }
+
+    fn reply(&self, heartbeat: &SessionHeartbeat, now: Millis) -> SessionReply {
+        let machine = self.setup.machine.borrow();
+        let age = self.setup.status.borrow().freshness.age(now);
+        // Without a quorum's confirmation the own state may be an old one: a
+        // node must not start from it.
+        let update = match age {
+            Some(_) => machine.update_since(heartbeat.report.revision),
+            None => None,
+        };
+        let newer_view = self.view.version > heartbeat.view;
+        SessionReply {
+            echo: heartbeat.sent_at,
+            age,
+            revision: machine.revision(),
+            update,
+            view: newer_view.then(|| self.view.clone()),
+        }
+    }
+
+    /// Heartbeats that another relay passes on.
+    pub fn reports(&mut self, _: CX![], reports: Vec<NodeReport>) {
+        for report in reports {
+            self.pending_reports.insert(report.node.clone(), report);
+        }
+    }
+
+    /// The leader's view.
+    pub fn view(&mut self, _: CX![], view: ClusterView) {
+        if view.version > self.view.version {
+            self.view = view;
+        }
+    }
+
+    /// The replicated configuration may have changed: nodes get it at once.
+    pub fn configuration_applied(&mut self, cx: CX![]) {
+        let now = self.now(cx);
+        if self.setup.status.borrow().freshness.as_of.is_none() {
+            return;
+        }
+        let machine = self.setup.machine.borrow();
+        let current = machine.revision();
+        let mut outbox = self.setup.outbox.borrow_mut();
+        for (node, session) in &mut self.sessions {
+            let silent = now.saturating_sub(session.heard_at) > SESSION_SILENCE;
+            if silent || session.revision == Some(current) {
+                continue;
+            }
+            if let Some(update) = machine.update_since(session.revision) {
+                session.revision = Some(current);
+                let message = SessionMessage::Push(update);
+                outbox.send(node, PeerMessage::Session(message));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/session/session_actor.rs
@@ -0,0 +1,190 @@
+//! The session of a node with its relay.
+
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::outbox::SharedOutbox;
+use crate::session::node_state::SharedNodeState;
+use silversail_backend::platform::ListedState;
+use silversail_backend::MachineList;
+use silversail_consensus::Millis;
+use silversail_control::{ConfigurationUpdate, MachineState, NodeReport};
+use silversail_model::NodeName;
+use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply};
+use stakker::{after, fwd, Fwd, CX};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a session is made of.
+pub struct SessionSetup {
+    /// Nodes that may be the relay.
+    pub relays: Vec<NodeName>,
+    /// Position of the one to try first.
+    pub first_relay: usize,
+    /// Zone of this node.
+    pub zone: String,
+    /// Address that callers are told.
+    pub caller_address: String,
+    /// Between heartbeats.
+    pub heartbeat: Duration,
+    /// How old the configuration may be before the node refuses requests.
+    pub freshness_lease: Millis,
+    /// What the node has in force.
+    pub state: SharedNodeState,
+    /// Sending.
+    pub outbox: SharedOutbox,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Told when configuration, view or machine states changed.
+    pub on_change: Fwd<()>,
+    /// Time.
+    pub clock: Clock,
+}
+
+/// Heartbeats without an answer after which another relay is tried.
+const SILENT_HEARTBEATS: u32 = 2;
+
+/// Keeps a node in step.
+pub struct SessionActor {
+    setup: SessionSetup,
+    relay: usize,
+    unanswered: u32,
+}
+
+impl SessionActor {
+    /// Starts with a heartbeat.
+    pub fn init(cx: CX![], setup: SessionSetup) -> Option<Self> {
+        let relay = setup.first_relay;
+        after!(Duration::ZERO, [cx], tick());
+        Some(Self {
+            setup,
+            relay,
+            unanswered: 0,
+        })
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(self.setup.heartbeat, [cx], tick());
+        if self.unanswered >= SILENT_HEARTBEATS {
+            self.try_next_relay();
+        }
+        self.send_heartbeat(cx);
+    }
+
+    fn try_next_relay(&mut self) {
+        self.relay = (self.relay + 1) % self.setup.relays.len();
+        self.unanswered = 0;
+    }
+
+    /// Sends a heartbeat at once, outside the interval.
+    pub fn send_heartbeat(&mut self, cx: CX![]) {
+        self.unanswered += 1;
+        let now = self.setup.clock.millis(cx.now());
+        let message = {
+            let state = self.setup.state.borrow();
+            let outbox = self.setup.outbox.borrow();
+            SessionMessage::Heartbeat(SessionHeartbeat {
+                sent_at: now,
+                report: NodeReport {
+                    node: outbox.node().clone(),
+                    incarnation: outbox.incarnation(),
+                    zone: self.setup.zone.clone(),
+                    caller_address: self.setup.caller_address.clone(),
+                    stopping: state.stopping,
+                    serving: state.is_current(now, self.setup.freshness_lease),
+                    revision: state.configuration.revision(),
+                    machines: state.machines_unknown_to_view(),
+                },
+                view: state.view.version,
+            })
+        };
+        let relay = &self.setup.relays[self.relay % self.setup.relays.len()];
+        self.setup
+            .outbox
+            .borrow_mut()
+            .send(relay, PeerMessage::Session(message));
+    }
+
+    /// A relay's answer.
+    pub fn reply(&mut self, cx: CX![], reply: SessionReply) {
+        let now = self.setup.clock.millis(cx.now());
+        if reply.echo > now {
+            // Of a former process of this node, whose clock ran further.
+            return;
+        }
+        let Some(age) = reply.age else {
+            // A relay that is cut off itself is of no use.
+            self.try_next_relay();
+            return;
+        };
+        self.unanswered = 0;
+        let mut changed = false;
+        if let Some(update) = reply.update {
+            changed |= self.apply(update);
+        }
+        {
+            let mut state = self.setup.state.borrow_mut();
+            // The relay's state was current at some time after the heartbeat
+            // was sent, less its age; it counts once this node has it all.
+            if state.configuration.revision() >= Some(reply.revision) {
+                state.freshness.advance(reply.echo.saturating_sub(age));
+            }
+            if let Some(view) = reply.view.filter(|view| view.version > state.view.version) {
+                for machine in &view.machines {
+                    state.merge_machine(machine);
+                }
+                state.view = view;
+                changed = true;
+            }
+        }
+        if changed {
+            fwd!([self.setup.on_change], ());
+        }
+    }
+
+    /// A change that the relay pushed.
+    pub fn push(&mut self, _: CX![], update: ConfigurationUpdate) {
+        // Only an answer to an own heartbeat proves that what it brings is not
+        // older than this process; so the first update is never a push.
+        let has_started = self.setup.state.borrow().configuration.revision().is_some();
+        if has_started && self.apply(update) {
+            fwd!([self.setup.on_change], ());
+        }
+    }
+
+    fn apply(&mut self, update: ConfigurationUpdate) -> bool {
+        let mut state = self.setup.state.borrow_mut();
+        let applied = state.configuration.apply(update);
+        if applied {
+            let revision = state.configuration.revision().unwrap_or_default();
+            self.setup.metrics.revision.set(revision as i64);
+            log::info!(event = "configuration_in_force", revision = revision; "configuration applied");
+        }
+        applied
+    }
+
+    /// The platform's list as this node sees it.
+    pub fn machine_list(&mut self, cx: CX![], list: MachineList) {
+        let mut changed = false;
+        {
+            let mut state = self.setup.state.borrow_mut();
+            for entry in &list.machines {
+                changed |= state.merge_machine(&MachineState {
+                    address: entry.address.clone(),
+                    leaving: entry.state == ListedState::Leaving,
+                    list_version: list.version,
+                });
+            }
+        }
+        if changed {
+            // Others' lists may lag: they hear of it at once.
+            self.send_heartbeat(cx);
+            fwd!([self.setup.on_change], ());
+        }
+    }
+
+    /// Marks the process as stopping and tells so.
+    pub fn stop(&mut self, cx: CX![]) {
+        self.setup.state.borrow_mut().stopping = true;
+        self.send_heartbeat(cx);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,399 @@
+//! The settings file of one process.
+
+use serde::Deserialize;
+use silversail_consensus::ConsensusConfig;
+use silversail_model::{NodeName, ResultCode};
+use silversail_routing::{PlacementPolicy, QueueOrder};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Why a settings file can't be used.
+#[derive(Debug, thiserror::Error)]
+#[error("{} {path}: {message}", .code.number())]
+pub struct SettingsError {
+    /// Numbered code.
+    pub code: ResultCode,
+    /// Path of the field, or of the file.
+    pub path: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl SettingsError {
+    fn new(code: ResultCode, path: impl Into<String>, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            path: path.into(),
+            message: message.into(),
+        }
+    }
+}
+
+/// Everything that a process reads at start.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// This process's name among `cluster.nodes`.
+    pub node: NodeName,
+    /// The cluster, the same in each process's file.
+    pub cluster: ClusterSettings,
+    /// Where to listen, if not at the addresses that `cluster.nodes` tells the
+    /// others.
+    #[serde(default)]
+    pub listen: ListenSettings,
+    /// IP address and port of the operators' and metrics surface.
+    pub operators: String,
+    /// Folder of the replicas' state; needed on voters.
+    #[serde(default)]
+    pub data_folder: Option<PathBuf>,
+    /// IP address and port of the platform's machine list.
+    #[serde(default)]
+    pub platform: Option<String>,
+    /// Limits on callers.
+    #[serde(default)]
+    pub limits: LimitSettings,
+    /// How requests are routed.
+    #[serde(default)]
+    pub routing: RoutingSettings,
+    /// Intervals.
+    #[serde(default)]
+    pub timing: TimingSettings,
+    /// Logging.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// The processes of a cluster.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClusterSettings {
+    /// Messages of clusters with other names are dropped.
+    pub name: String,
+    /// All processes.
+    pub nodes: Vec<NodeSettings>,
+    /// Names of the nodes with a disk that replicate the state.
+    pub voters: Vec<NodeName>,
+    /// Over how many groups the claim ledger is spread.
+    #[serde(default = "one")]
+    pub ledger_groups: u16,
+}
+
+fn one() -> u16 {
+    1
+}
+
+/// One process as the others reach it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Its name.
+    pub name: NodeName,
+    /// Its zone.
+    pub zone: String,
+    /// IP address and port for other processes.
+    pub peer: String,
+    /// IP address and port for callers.
+    pub callers: String,
+}
+
+/// Listening addresses that differ from the announced ones.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// For other processes.
+    #[serde(default)]
+    pub peer: Option<String>,
+    /// For callers.
+    #[serde(default)]
+    pub callers: Option<String>,
+}
+
+/// Limits on callers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Most open connections.
+    pub connections: usize,
+    /// Most requests under way.
+    pub open_requests: usize,
+    /// Largest body in bytes.
+    pub body_bytes: usize,
+    /// Longest wait for a request's head, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Longest wait for a request's body, in milliseconds.
+    pub body_timeout_ms: u64,
+    /// Longest deadline that a request may ask for, in milliseconds.
+    pub deadline_ms: u64,
+    /// Most back-end calls under way.
+    pub calls: usize,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            connections: 4_096,
+            open_requests: 2_000,
+            body_bytes: 1 << 20,
+            header_timeout_ms: 15_000,
+            body_timeout_ms: 5_000,
+            deadline_ms: 600_000,
+            calls: 512,
+        }
+    }
+}
+
+/// How requests are routed.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RoutingSettings {
+    /// Choice of the back end.
+    pub placement: PlacementPolicy,
+    /// Order of waiting stages.
+    pub queue: QueueOrder,
+    /// Whether requests that can't end in time are refused at entry.
+    pub admission: bool,
+    /// How many times a back end's slots are given out over all nodes.
+    pub slot_share: f64,
+    /// Retries as a share of first attempts.
+    pub retry_share: f64,
+}
+
+impl Default for RoutingSettings {
+    fn default() -> Self {
+        Self {
+            placement: PlacementPolicy::default(),
+            queue: QueueOrder::default(),
+            admission: true,
+            slot_share: 1.5,
+            retry_share: 0.1,
+        }
+    }
+}
+
+/// Intervals, in milliseconds.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TimingSettings {
+    /// Between a consensus leader's heartbeats.
+    pub consensus_heartbeat_ms: u64,
+    /// Shortest silence before an election.
+    pub election_timeout_ms: u64,
+    /// Between a node's heartbeats to its relay.
+    pub session_heartbeat_ms: u64,
+    /// How long a node stays in the view without a heartbeat.
+    pub node_lease_ms: u64,
+    /// How old a node's configuration may be before it refuses requests.
+    pub freshness_lease_ms: u64,
+    /// How long callers keep an entry-point answer.
+    pub entry_point_lifetime_ms: u64,
+    /// Between reads of an engine's load.
+    pub load_poll_ms: u64,
+    /// Between reads of the platform's list.
+    pub platform_poll_ms: u64,
+    /// Longest wait for the ledger's answer.
+    pub ledger_timeout_ms: u64,
+    /// How long ended requests are kept for repeats.
+    pub ledger_retention_ms: u64,
+    /// Longest wait for requests under way at a stop.
+    pub stop_timeout_ms: u64,
+}
+
+impl Default for TimingSettings {
+    fn default() -> Self {
+        Self {
+            consensus_heartbeat_ms: 150,
+            election_timeout_ms: 900,
+            session_heartbeat_ms: 400,
+            node_lease_ms: 2_000,
+            freshness_lease_ms: 3_000,
+            entry_point_lifetime_ms: 3_000,
+            load_poll_ms: 250,
+            platform_poll_ms: 500,
+            ledger_timeout_ms: 2_000,
+            ledger_retention_ms: 3_600_000,
+            stop_timeout_ms: 30_000,
+        }
+    }
+}
+
+/// Logging.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: String,
+    /// Folder of rotating log files; standard error where not set.
+    pub folder: Option<PathBuf>,
+    /// Size at which a file is rotated, in bytes.
+    pub rotate_bytes: u64,
+    /// Rotated files that are kept.
+    pub keep_files: usize,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: "info".into(),
+            folder: None,
+            rotate_bytes: 64 << 20,
+            keep_files: 5,
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let invalid = |message: String| {
+            SettingsError::new(ResultCode::InvalidSettings, path.display().to_string(), message)
+        };
+        let text = std::fs::read_to_string(path).map_err(|error| invalid(error.to_string()))?;
+        let settings: Settings =
+            serde_yaml_ng::from_str(&text).map_err(|error| invalid(error.to_string()))?;
+        settings.validate()?;
+        Ok(settings)
+    }
+
+    /// Checks references, addresses and ranges.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        self.validate_nodes()?;
+        self.validate_voters()?;
+        check_address("operators", &self.operators)?;
+        for (path, address) in [
+            ("listen.peer", &self.listen.peer),
+            ("listen.callers", &self.listen.callers),
+            ("platform", &self.platform),
+        ] {
+            if let Some(address) = address {
+                check_address(path, address)?;
+            }
+        }
+        self.validate_ranges()
+    }
+
+    fn validate_nodes(&self) -> Result<(), SettingsError> {
+        let mut names = BTreeSet::new();
+        for (position, node) in self.cluster.nodes.iter().enumerate() {
+            let path = format!("cluster.nodes[{position}]");
+            if !silversail_model::identifiers::is_valid_name(node.name.as_str()) {
+                let message = "a name takes 1 to 128 letters, digits, '-', '_' and '.'";
+                return Err(SettingsError::new(ResultCode::InvalidName, format!("{path}.name"), message));
+            }
+            if !names.insert(&node.name) {
+                let message = format!("'{}' stands twice", node.name);
+                return Err(SettingsError::new(ResultCode::DuplicateName, format!("{path}.name"), message));
+            }
+            check_address(&format!("{path}.peer"), &node.peer)?;
+            check_address(&format!("{path}.callers"), &node.callers)?;
+        }
+        if !names.contains(&self.node) {
+            let message = format!("'{}' is not among cluster.nodes", self.node);
+            return Err(SettingsError::new(ResultCode::UnknownReference, "node", message));
+        }
+        Ok(())
+    }
+
+    fn validate_voters(&self) -> Result<(), SettingsError> {
+        let voters = &self.cluster.voters;
+        if voters.is_empty() || voters.len().is_multiple_of(2) {
+            return Err(SettingsError::new(
+                ResultCode::ValueOutOfRange,
+                "cluster.voters",
+                "must be an odd number of nodes",
+            ));
+        }
+        for (position, voter) in voters.iter().enumerate() {
+            if !self.cluster.nodes.iter().any(|node| node.name == *voter) {
+                return Err(SettingsError::new(
+                    ResultCode::UnknownReference,
+                    format!("cluster.voters[{position}]"),
+                    format!("'{voter}' is not among cluster.nodes"),
+                ));
+            }
+        }
+        if self.is_voter() && self.data_folder.is_none() {
+            return Err(SettingsError::new(
+                ResultCode::MissingField,
+                "data_folder",
+                "a voter needs a data folder",
+            ));
+        }
+        Ok(())
+    }
+
+    fn validate_ranges(&self) -> Result<(), SettingsError> {
+        let out_of_range = |path: &str, message: &str| {
+            Err(SettingsError::new(ResultCode::ValueOutOfRange, path, message))
+        };
+        if self.cluster.ledger_groups == 0 {
+            return out_of_range("cluster.ledger_groups", "must be at least 1");
+        }
+        if let Err(message) = self.consensus_config().validate() {
+            return out_of_range("timing", &message);
+        }
+        if self.timing.node_lease_ms < 2 * self.timing.session_heartbeat_ms {
+            return out_of_range("timing.node_lease_ms", "must be at least 2 session_heartbeat_ms");
+        }
+        if self.timing.freshness_lease_ms < 2 * self.timing.session_heartbeat_ms {
+            return out_of_range("timing.freshness_lease_ms", "must be at least 2 session_heartbeat_ms");
+        }
+        if self.routing.slot_share <= 0.0 {
+            return out_of_range("routing.slot_share", "must be above 0");
+        }
+        if self.log.level.parse::<log::LevelFilter>().is_err() {
+            return out_of_range("log.level", "must be error, warn, info, debug or trace");
+        }
+        Ok(())
+    }
+
+    /// Whether this process replicates the state.
+    pub fn is_voter(&self) -> bool {
+        self.cluster.voters.contains(&self.node)
+    }
+
+    /// This process's entry among the nodes.
+    pub fn own_node(&self) -> &NodeSettings {
+        self.cluster
+            .nodes
+            .iter()
+            .find(|node| node.name == self.node)
+            .expect("validated: node is among cluster.nodes")
+    }
+
+    /// Where to listen for other processes.
+    pub fn peer_listen_address(&self) -> &str {
+        self.listen.peer.as_deref().unwrap_or(&self.own_node().peer)
+    }
+
+    /// Where to listen for callers.
+    pub fn caller_listen_address(&self) -> &str {
+        self.listen
+            .callers
+            .as_deref()
+            .unwrap_or(&self.own_node().callers)
+    }
+
+    /// Timing of the replication groups.
+    pub fn consensus_config(&self) -> ConsensusConfig {
+        let election_timeout = self.timing.election_timeout_ms;
+        ConsensusConfig {
+            heartbeat_interval: self.timing.consensus_heartbeat_ms,
+            election_timeout,
+            // A sixth for clocks that run at different speeds.
+            lease_duration: election_timeout - election_timeout / 6,
+            ..ConsensusConfig::default()
+        }
+    }
+}
+
+fn check_address(path: &str, address: &str) -> Result<(), SettingsError> {
+    match address.parse::<SocketAddr>() {
+        Ok(_) => Ok(()),
+        Err(_) => Err(SettingsError::new(
+            ResultCode::InvalidAddress,
+            path,
+            format!("'{address}' is not IP:PORT"),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/surface/entry_points.rs
@@ -0,0 +1,71 @@
+//! Which addresses callers shall use, and for how long.
+
+use crate::requests::answer::{RefusalBody, JSON};
+use crate::session::NodeState;
+use crate::surface::refusal_response;
+use rand::seq::SliceRandom;
+use serde::Serialize;
+use silversail_consensus::Millis;
+use silversail_control::NodeStatus;
+use silversail_http::{Responder, ResponseHead};
+use silversail_model::ResultCode;
+
+#[derive(Serialize)]
+struct EntryPoint<'a> {
+    node: &'a str,
+    address: &'a str,
+    zone: &'a str,
+}
+
+#[derive(Serialize)]
+struct EntryPointsBody<'a> {
+    entry_points: Vec<EntryPoint<'a>>,
+    valid_for_ms: u64,
+}
+
+/// How answers are made.
+pub struct EntryPointSettings {
+    /// How old the node's state may be for an answer, in milliseconds.
+    pub freshness_lease: Millis,
+    /// How long callers may keep an answer, in milliseconds.
+    pub lifetime: Millis,
+}
+
+/// Answers with the usable nodes, those of `zone` first, else in any order. A
+/// node that is cut off gives no answer, as its view may be old.
+pub fn answer(
+    state: &NodeState,
+    settings: &EntryPointSettings,
+    zone: Option<&str>,
+    now: Millis,
+    responder: Responder,
+) {
+    let mut nodes: Vec<&NodeStatus> = state.view.usable_nodes().collect();
+    if !state.is_current(now, settings.freshness_lease) || nodes.is_empty() {
+        let code = ResultCode::NotCurrent;
+        let mut body = RefusalBody::new("", code, "this node can't tell which nodes are usable");
+        body.retry_after_ms = Some(500);
+        let (head, bytes) = refusal_response(code, &body);
+        responder.respond(head, bytes);
+        return;
+    }
+    nodes.shuffle(&mut rand::thread_rng());
+    nodes.sort_by_key(|node| Some(node.zone.as_str()) != zone);
+    let body = EntryPointsBody {
+        entry_points: nodes
+            .iter()
+            .map(|node| EntryPoint {
+                node: node.node.as_str(),
+                address: &node.caller_address,
+                zone: &node.zone,
+            })
+            .collect(),
+        valid_for_ms: settings.lifetime,
+    };
+    let mut head = ResponseHead::new(200, JSON);
+    let seconds = settings.lifetime / 1_000;
+    head.headers
+        .push(("cache-control", format!("max-age={seconds}")));
+    let bytes = serde_json::to_vec(&body).expect("the body encodes");
+    responder.respond(head, bytes);
+}
--- /dev/null
+++ b/crates/daemon/src/surface/mod.rs
@@ -0,0 +1,31 @@
+//! The surfaces of a process: callers, and operators with metrics.
+
+pub mod callers;
+pub mod entry_points;
+pub mod operators;
+
+use crate::requests::answer::{RefusalBody, JSON};
+use silversail_http::ResponseHead;
+use silversail_model::ResultCode;
+
+/// Status and headers for a code.
+pub fn head_for(code: ResultCode) -> ResponseHead {
+    let mut head = ResponseHead::new(code.http_status(), JSON);
+    head.headers
+        .push(("silversail-code", code.number().to_string()));
+    head
+}
+
+/// Head and body of a refusal. `Retry-After` is in whole seconds, rounded up;
+/// the body has milliseconds.
+pub fn refusal_response(code: ResultCode, body: &RefusalBody) -> (ResponseHead, Vec<u8>) {
+    let mut head = head_for(code);
+    if let Some(milliseconds) = body.retry_after_ms {
+        let seconds = milliseconds.div_ceil(1_000);
+        head.headers.push(("retry-after", seconds.to_string()));
+    }
+    if let Some(token) = &body.retry_token {
+        head.headers.push(("silversail-retry-token", token.clone()));
+    }
+    (head, body.encode())
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,17 @@
+//! The vocabulary shared by every package: identifiers, labels and selectors,
+//! the configuration with its validation, and the numbered result codes.
+
+pub mod codes;
+pub mod configuration;
+pub mod identifiers;
+pub mod selector;
+pub mod validation;
+
+pub use codes::{Outcome, ResultCode};
+pub use configuration::{
+    Backend, BackendKind, Configuration, ConfigurationDocument, Model, ObjectKind, ObjectReference,
+    Pipeline, Revision, Stage, StageKind, Tenant, TenantLimits,
+};
+pub use identifiers::{BackendName, ChangeId, NodeName, PipelineName, StageName, TenantName};
+pub use selector::{Labels, Operator, Requirement, Selector};
+pub use validation::{FieldError, ValidationErrors};
--- /dev/null
+++ b/crates/peer/src/message.rs
@@ -0,0 +1,161 @@
+//! What silversail processes tell each other.
+
+use serde::{Deserialize, Serialize};
+use silversail_consensus::{JoinRequest, Message, Millis, ReplicaId, Snapshot};
+use silversail_control::{ClusterView, ConfigurationUpdate, NodeReport, ViewVersion};
+use silversail_model::{NodeName, Revision};
+use std::fmt;
+
+/// Version of the message format; other versions are dropped.
+pub const PROTOCOL_VERSION: u8 = 1;
+
+/// A message with its sender.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// [`PROTOCOL_VERSION`] of the sender.
+    pub version: u8,
+    /// Name of the cluster from the settings.
+    pub cluster: String,
+    /// Sending node.
+    pub from: NodeName,
+    /// Sending process.
+    pub incarnation: u64,
+    /// Content.
+    pub message: PeerMessage,
+}
+
+/// A replication group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum GroupId {
+    /// Configuration.
+    Control,
+    /// One part of the claim ledger; keys are spread over the parts by hash.
+    Ledger(u16),
+}
+
+impl fmt::Display for GroupId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            GroupId::Control => formatter.write_str("control"),
+            GroupId::Ledger(part) => write!(formatter, "ledger-{part}"),
+        }
+    }
+}
+
+/// Content of an [`Envelope`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Of a replication group.
+    Group {
+        /// Which group.
+        group: GroupId,
+        /// The message.
+        message: GroupMessage,
+    },
+    /// Of a node's session with its relay.
+    Session(SessionMessage),
+}
+
+/// Messages to or between the members of a group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum GroupMessage {
+    /// Between replicas.
+    Consensus {
+        /// Cluster identity drawn when the group formed; others are dropped.
+        cluster_id: u64,
+        /// The message.
+        message: Message,
+    },
+    /// Before a replica is a member.
+    Formation(FormationMessage),
+    /// Asks the leader to commit a command.
+    Propose {
+        /// Identifies the proposal at the sender.
+        proposal: u64,
+        /// The command.
+        command: Vec<u8>,
+    },
+    /// Answers a proposal.
+    ProposeReply {
+        /// The sender's identifier.
+        proposal: u64,
+        /// What became of it.
+        result: ProposeResult,
+    },
+}
+
+/// What became of a proposal.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ProposeResult {
+    /// Committed and applied, with the state machine's reply.
+    Applied(Vec<u8>),
+    /// Not taken; maybe this node leads.
+    NotLeader(Option<NodeName>),
+    /// Taken, but another leader's entry stands in its place: not committed.
+    Replaced,
+}
+
+/// How a group forms and how a replica with an empty disk comes in.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FormationMessage {
+    /// Asks what the receiver holds, telling the sender's identity.
+    Probe {
+        /// The sender's replica.
+        replica: ReplicaId,
+    },
+    /// Answers a probe.
+    ProbeReply {
+        /// The sender's replica.
+        replica: ReplicaId,
+        /// The snapshot that the group started from or has reached, data left
+        /// out; none when the sender holds nothing.
+        formed: Option<Snapshot>,
+    },
+    /// The group's first state, sent when every voter of the settings holds
+    /// nothing.
+    Form(Snapshot),
+    /// Asks the leader to make the sender a member.
+    Join(JoinRequest),
+}
+
+/// A node's heartbeat to its relay.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SessionHeartbeat {
+    /// The sender's clock, echoed in the reply.
+    pub sent_at: Millis,
+    /// State of the node.
+    pub report: NodeReport,
+    /// Version of the view that it has.
+    pub view: ViewVersion,
+}
+
+/// A relay's answer to a heartbeat.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SessionReply {
+    /// `sent_at` of the heartbeat.
+    pub echo: Millis,
+    /// How old the relay's configuration may be, in milliseconds; none when no
+    /// quorum has confirmed it.
+    pub age: Option<Millis>,
+    /// The relay's revision.
+    pub revision: Revision,
+    /// What the node lacks.
+    pub update: Option<ConfigurationUpdate>,
+    /// A newer view than the node's.
+    pub view: Option<ClusterView>,
+}
+
+/// Messages of sessions.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum SessionMessage {
+    /// Node to relay.
+    Heartbeat(SessionHeartbeat),
+    /// Relay to node.
+    Reply(SessionReply),
+    /// Relay to node, at once when the configuration changes.
+    Push(ConfigurationUpdate),
+    /// Relay to leader: the heartbeats of its nodes since the last one.
+    Reports(Vec<NodeReport>),
+    /// Leader to relays.
+    View(ClusterView),
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decisions of the data path: which back end, in what order, when to refuse,
+//! when to retry. Pure: no clock, no I/O; times are milliseconds of the
+//! caller's clock.
+
+pub mod admission;
+pub mod average;
+pub mod limits;
+pub mod placement;
+pub mod queue;
+pub mod retry;
+
+pub use admission::{Admission, AdmissionDecision, PoolLoad, StageEstimate};
+pub use average::MovingAverage;
+pub use limits::{node_share, LimitViolation, TenantLimiter};
+pub use placement::{BackendLoad, Candidate, PlacementPolicy, Placer};
+pub use queue::{FairQueue, PoolId, QueueOrder, QueuedStage};
+pub use retry::RetryBudget;
+
+/// Milliseconds of a local monotonic clock.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/routing/src/placement.rs
@@ -0,0 +1,186 @@
+//! Which back end of a pool runs a stage.
+
+use crate::average::MovingAverage;
+use crate::Millis;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use silversail_model::BackendName;
+
+/// Failures in a row after which a back end is left out for a while.
+const EJECT_AFTER_FAILURES: u32 = 3;
+/// How long a failing back end is left out, in milliseconds.
+const EJECT_FOR: Millis = 2_000;
+/// A load report older than this says nothing, in milliseconds.
+const REPORT_VALID_FOR: Millis = 3_000;
+/// How many back ends are compared for stages without a load report.
+const SAMPLES: usize = 3;
+/// Share of a prompt's service time that a held prefix saves.
+const PREFIX_SAVING: f64 = 0.5;
+
+/// How a back end is chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlacementPolicy {
+    /// Any, by chance; a baseline.
+    Random,
+    /// Each in turn; a baseline.
+    RoundRobin,
+    /// The one that is expected to finish first.
+    #[default]
+    ExpectedFinish,
+}
+
+/// What this node knows of a back end's load.
+#[derive(Clone, Debug)]
+pub struct BackendLoad {
+    /// Own calls in flight.
+    pub in_flight: u32,
+    /// Measured service time of one call, in milliseconds.
+    pub service_ms: MovingAverage,
+    reported: Option<(u32, Millis)>,
+    /// Own calls in flight when the report was taken in.
+    own_at_report: u32,
+    failures: u32,
+    ejected_until: Millis,
+}
+
+impl BackendLoad {
+    /// A back end of which nothing is known but the assumed service time.
+    pub fn new(assumed_ms: f64) -> Self {
+        Self {
+            in_flight: 0,
+            service_ms: MovingAverage::new(assumed_ms),
+            reported: None,
+            own_at_report: 0,
+            failures: 0,
+            ejected_until: 0,
+        }
+    }
+
+    /// Takes in a report of all calls at the back end, others' included.
+    pub fn report(&mut self, load: u32, now: Millis) {
+        self.reported = Some((load, now));
+        self.own_at_report = self.in_flight;
+    }
+
+    /// Notes that a call ended well.
+    pub fn succeeded(&mut self, service_ms: f64) {
+        self.service_ms.add(service_ms);
+        self.failures = 0;
+    }
+
+    /// Notes that a call failed.
+    pub fn failed(&mut self, now: Millis) {
+        self.failures += 1;
+        if self.failures >= EJECT_AFTER_FAILURES {
+            self.ejected_until = now + EJECT_FOR;
+        }
+    }
+
+    /// Whether the back end is left out for its failures.
+    pub fn is_ejected(&self, now: Millis) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Calls believed to be at the back end: the last report with the own calls
+    /// since then put right, and never less than the own ones.
+    pub fn believed_load(&self, now: Millis) -> u32 {
+        let own = self.in_flight;
+        match self.reported {
+            Some((load, at)) if now.saturating_sub(at) < REPORT_VALID_FOR => {
+                let others = load.saturating_sub(self.own_at_report);
+                others + own
+            }
+            _ => own,
+        }
+    }
+}
+
+/// A back end that may run a stage now.
+#[derive(Clone, Debug)]
+pub struct Candidate<'a> {
+    /// Its name.
+    pub name: &'a BackendName,
+    /// Calls that it runs side by side.
+    pub slots: u32,
+    /// Whether it is believed to hold the prompt's prefix.
+    pub holds_prefix: bool,
+    /// Whether it is in this node's zone.
+    pub same_zone: bool,
+    /// Its load.
+    pub load: &'a BackendLoad,
+}
+
+/// Chooses back ends by a policy.
+pub struct Placer {
+    policy: PlacementPolicy,
+    random: ChaCha8Rng,
+    turn: usize,
+}
+
+impl Placer {
+    /// A placer; `seed` breaks ties differently on each node.
+    pub fn new(policy: PlacementPolicy, seed: u64) -> Self {
+        Self {
+            policy,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            turn: 0,
+        }
+    }
+
+    /// The position of the chosen candidate.
+    pub fn choose(&mut self, candidates: &[Candidate<'_>], now: Millis) -> Option<usize> {
+        if candidates.is_empty() {
+            return None;
+        }
+        match self.policy {
+            PlacementPolicy::Random => Some(self.random.gen_range(0..candidates.len())),
+            PlacementPolicy::RoundRobin => {
+                self.turn = self.turn.wrapping_add(1);
+                Some(self.turn % candidates.len())
+            }
+            PlacementPolicy::ExpectedFinish => self.choose_first_to_finish(candidates, now),
+        }
+    }
+
+    fn choose_first_to_finish(
+        &mut self,
+        candidates: &[Candidate<'_>],
+        now: Millis,
+    ) -> Option<usize> {
+        let has_reports = candidates.iter().any(|one| one.load.reported.is_some());
+        let has_prefix = candidates.iter().any(|one| one.holds_prefix);
+        let compared: Vec<usize> = if has_reports || has_prefix || candidates.len() <= SAMPLES {
+            (0..candidates.len()).collect()
+        } else {
+            rand::seq::index::sample(&mut self.random, candidates.len(), SAMPLES).into_vec()
+        };
+        let random = &mut self.random;
+        compared
+            .into_iter()
+            .map(|position| {
+                let cost = expected_finish_ms(&candidates[position], now);
+                // Equal costs are told apart by chance, else all nodes herd.
+                (position, cost * random.gen_range(1.0..1.05))
+            })
+            .min_by(|left, right| left.1.total_cmp(&right.1))
+            .map(|(position, _)| position)
+    }
+}
+
+/// Expected time until a call started now would finish, in milliseconds.
+pub fn expected_finish_ms(candidate: &Candidate<'_>, now: Millis) -> f64 {
+    let service = candidate.load.service_ms.value();
+    let load = f64::from(candidate.load.believed_load(now));
+    let slots = f64::from(candidate.slots.max(1));
+    let waiting = (load + 1.0 - slots).max(0.0) / slots * service;
+    // A fuller batch makes each step a little longer, long before it is full.
+    let crowding = 1.0 + 0.25 * (load / slots).min(1.0);
+    let own = if candidate.holds_prefix {
+        service * crowding * PREFIX_SAVING
+    } else {
+        service * crowding
+    };
+    waiting + own
+}
