--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -162,13 +162,10 @@
         .send_bytes(&encoded);
     match response {
         Ok(response) => Ok(response),
-        Err(ureq::Error::Status(429 | 503 | 404, response)) => Err(CallFailure::NotRun(format!(
-            "status {}",
-            response.status()
-        ))),
-        Err(ureq::Error::Status(status, _)) => {
-            Err(CallFailure::Failed(format!("status {status}")))
+        Err(ureq::Error::Status(429 | 503 | 404, response)) => {
+            Err(CallFailure::NotRun(format!("status {}", response.status())))
         }
+        Err(ureq::Error::Status(status, _)) => Err(CallFailure::Failed(format!("status {status}"))),
         Err(ureq::Error::Transport(error)) => Err(transport_failure(&error)),
     }
 }
--- /dev/null
+++ b/crates/cli/src/commands/configuration.rs
@@ -0,0 +1,194 @@
+//! `apply`, `get` and `drain`.
+
+use crate::commands::check::read_document;
+use crate::errors::CliError;
+use crate::operator_client::OperatorClient;
+use crate::output::{print, OutputFormat, Table};
+use argh::FromArgs;
+use serde_json::{json, Value};
+use silversail_model::ConfigurationDocument;
+use std::path::PathBuf;
+
+/// Puts a configuration file in force. Prints the new revision.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "apply",
+    example = "{command_name} --server 127.0.0.1:9101,127.0.0.1:9102 --file change.yaml"
+)]
+pub struct Apply {
+    /// operators' addresses, comma-separated; the next is tried when one does not answer
+    #[argh(option)]
+    server: String,
+    /// YAML file with pipelines, backends, models, tenants, delete
+    #[argh(option)]
+    file: PathBuf,
+    /// identifier of the change; keep it when you send the same change again
+    #[argh(option)]
+    change_id: Option<String>,
+    /// revision that the change builds on; the current one if not given
+    #[argh(option)]
+    base_revision: Option<u64>,
+    /// your name, for the history
+    #[argh(option, default = "String::new()")]
+    operator: String,
+}
+
+impl Apply {
+    /// Sends the change.
+    pub fn run(self) -> Result<(), CliError> {
+        let document = read_document(&self.file)?;
+        let client = OperatorClient::new(&self.server);
+        send_change(
+            &client,
+            &document,
+            self.change_id,
+            self.base_revision,
+            &self.operator,
+        )
+    }
+}
+
+fn send_change(
+    client: &OperatorClient,
+    document: &ConfigurationDocument,
+    change_id: Option<String>,
+    base_revision: Option<u64>,
+    operator: &str,
+) -> Result<(), CliError> {
+    let base_revision = match base_revision {
+        Some(revision) => revision,
+        None => current_revision(client)?,
+    };
+    let change_id = change_id.unwrap_or_else(|| format!("cli-{:016x}", rand::random::<u64>()));
+    let body = json!({
+        "change_id": change_id,
+        "base_revision": base_revision,
+        "operator": operator,
+        "document": document,
+    });
+    let answer = client
+        .post("/v1/configuration/changes", &body)
+        .inspect_err(|error| {
+            if error.exit_code() == 4 {
+                eprintln!(
+                    "to send it again: --change-id {change_id} --base-revision {base_revision}"
+                );
+            }
+        })?;
+    println!("revision {}", answer["revision"]);
+    Ok(())
+}
+
+fn current_revision(client: &OperatorClient) -> Result<u64, CliError> {
+    let current = client.get("/v1/configuration")?;
+    Ok(current["revision"].as_u64().unwrap_or_default())
+}
+
+/// Prints the configuration in force.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "get",
+    example = "{command_name} --server 127.0.0.1:9101 --kind backends --output table"
+)]
+pub struct Get {
+    /// operators' addresses, comma-separated
+    #[argh(option)]
+    server: String,
+    /// pipelines, backends, models or tenants; all if not given
+    #[argh(option)]
+    kind: Option<String>,
+    /// table, json or yaml
+    #[argh(option, default = "OutputFormat::Yaml")]
+    output: OutputFormat,
+}
+
+const KINDS: [&str; 4] = ["pipelines", "backends", "models", "tenants"];
+
+impl Get {
+    /// Reads and prints.
+    pub fn run(self) -> Result<(), CliError> {
+        if let Some(kind) = self.kind.as_deref().filter(|kind| !KINDS.contains(kind)) {
+            let known = KINDS.join(", ");
+            return Err(CliError::Invalid(format!(
+                "no kind '{kind}'; there are {known}"
+            )));
+        }
+        let answer = OperatorClient::new(&self.server).get("/v1/configuration")?;
+        let shown = match &self.kind {
+            Some(kind) => answer["document"][kind].clone(),
+            None => answer.clone(),
+        };
+        let kinds: Vec<&str> = match &self.kind {
+            Some(kind) => vec![kind],
+            None => KINDS.to_vec(),
+        };
+        print(self.output, &shown, || {
+            table_of(&answer["document"], &kinds)
+        })
+    }
+}
+
+fn table_of(document: &Value, kinds: &[&str]) -> Table {
+    let mut table = Table::new(&["kind", "name", "labels"]);
+    for kind in kinds {
+        for object in document[kind].as_array().into_iter().flatten() {
+            let labels = object["labels"].as_object().into_iter().flatten();
+            let labels: Vec<String> = labels
+                .map(|(key, value)| format!("{key}={}", value.as_str().unwrap_or_default()))
+                .collect();
+            table.row(vec![
+                (*kind).to_owned(),
+                object["name"].as_str().unwrap_or_default().to_owned(),
+                labels.join(","),
+            ]);
+        }
+    }
+    table
+}
+
+/// Declares that a back end gets nothing new, or again may.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "drain",
+    example = "{command_name} --server 127.0.0.1:9101 --backend engine-3",
+    example = "{command_name} --server 127.0.0.1:9101 --backend engine-3 --undo"
+)]
+pub struct Drain {
+    /// operators' addresses, comma-separated
+    #[argh(option)]
+    server: String,
+    /// name of the back end
+    #[argh(option)]
+    backend: String,
+    /// let it serve again
+    #[argh(switch)]
+    undo: bool,
+}
+
+impl Drain {
+    /// Changes the back end's declared intent.
+    pub fn run(self) -> Result<(), CliError> {
+        let client = OperatorClient::new(&self.server);
+        let current = client.get("/v1/configuration")?;
+        let document: ConfigurationDocument =
+            serde_json::from_value(current["document"].clone())
+                .map_err(|error| CliError::Local(error.to_string()))?;
+        let backend = document
+            .backends
+            .into_iter()
+            .find(|backend| backend.name.as_str() == self.backend);
+        let Some(mut backend) = backend else {
+            return Err(CliError::Invalid(format!("no back end '{}'", self.backend)));
+        };
+        backend.drain = !self.undo;
+        let change = ConfigurationDocument {
+            backends: vec![backend],
+            ..ConfigurationDocument::default()
+        };
+        let revision = current["revision"].as_u64();
+        send_change(&client, &change, None, revision, "")
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,52 @@
+//! The subcommands.
+
+pub mod check;
+pub mod configuration;
+pub mod emulate;
+pub mod load;
+pub mod request;
+pub mod status;
+
+use crate::errors::CliError;
+use argh::FromArgs;
+
+/// A subcommand.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// See [`configuration::Apply`].
+    Apply(configuration::Apply),
+    /// See [`configuration::Get`].
+    Get(configuration::Get),
+    /// See [`configuration::Drain`].
+    Drain(configuration::Drain),
+    /// See [`status::Status`].
+    Status(status::Status),
+    /// See [`check::Check`].
+    Check(check::Check),
+    /// See [`check::CheckHistory`].
+    CheckHistory(check::CheckHistory),
+    /// See [`emulate::Emulate`].
+    Emulate(emulate::Emulate),
+    /// See [`load::Load`].
+    Load(load::Load),
+    /// See [`request::Request`].
+    Request(request::Request),
+}
+
+impl Command {
+    /// Runs the subcommand.
+    pub fn run(self) -> Result<(), CliError> {
+        match self {
+            Command::Apply(command) => command.run(),
+            Command::Get(command) => command.run(),
+            Command::Drain(command) => command.run(),
+            Command::Status(command) => command.run(),
+            Command::Check(command) => command.run(),
+            Command::CheckHistory(command) => command.run(),
+            Command::Emulate(command) => command.run(),
+            Command::Load(command) => command.run(),
+            Command::Request(command) => command.run(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/status.rs
@@ -0,0 +1,76 @@
+//! `status`.
+
+use crate::errors::CliError;
+use crate::operator_client::{get_from, OperatorClient};
+use crate::output::{print, OutputFormat, Table};
+use argh::FromArgs;
+use serde_json::{json, Value};
+
+/// Prints the state of processes.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "status",
+    example = "{command_name} --server 127.0.0.1:9101,127.0.0.1:9102"
+)]
+pub struct Status {
+    /// operators' addresses, comma-separated; each is asked
+    #[argh(option)]
+    server: String,
+    /// table, json or yaml
+    #[argh(option, default = "OutputFormat::Table")]
+    output: OutputFormat,
+}
+
+impl Status {
+    /// Asks each server. Fails when any does not answer.
+    pub fn run(self) -> Result<(), CliError> {
+        let client = OperatorClient::new(&self.server);
+        let mut silent = Vec::new();
+        let mut states = Vec::new();
+        for server in client.servers() {
+            match get_from(server, "/v1/status") {
+                Ok(state) => states.push(state),
+                Err(_) => {
+                    silent.push(server.clone());
+                    states.push(json!({ "node": server, "serving": "no answer" }));
+                }
+            }
+        }
+        print(self.output, &states, || table_of(&states))?;
+        match silent.is_empty() {
+            true => Ok(()),
+            false => Err(CliError::NoAnswer(silent.join(", "))),
+        }
+    }
+}
+
+fn table_of(states: &[Value]) -> Table {
+    let mut table = Table::new(&[
+        "node", "serving", "revision", "age_ms", "open", "queued", "leads", "usable",
+    ]);
+    for state in states {
+        let groups = state["groups"].as_object().into_iter().flatten();
+        let leads: Vec<&str> = groups
+            .filter(|(_, group)| group["is_leader"] == true)
+            .map(|(name, _)| name.as_str())
+            .collect();
+        let usable = state["usable_nodes"].as_array().map_or(0, Vec::len);
+        let text = |field: &str| match &state[field] {
+            Value::Null => "-".to_owned(),
+            Value::String(text) => text.clone(),
+            other => other.to_string(),
+        };
+        table.row(vec![
+            text("node"),
+            text("serving"),
+            text("revision"),
+            text("configuration_age_ms"),
+            text("open_requests"),
+            text("queued_stages"),
+            leads.join(","),
+            usable.to_string(),
+        ]);
+    }
+    table
+}
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -24,8 +24,8 @@
 pub use log::{Entry, HardState, Index, Payload, ReplicatedLog, Snapshot, SnapshotMeta, Term};
 pub use membership::{next_membership, JoinRequest, Membership, ReplicaId};
 pub use message::{Message, MessageBody};
-pub use state_machine::StateMachine;
 pub use replica::{Output, ProposeError, Replica, Role, StoredState, WriteBatch};
+pub use state_machine::StateMachine;
 
 /// Milliseconds of a local monotonic clock; comparable in one process only.
 pub type Millis = u64;
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -96,7 +96,9 @@
 
     /// Term of the last entry.
     pub fn last_term(&self) -> Term {
-        self.entries.last().map_or(self.base_term, |entry| entry.term)
+        self.entries
+            .last()
+            .map_or(self.base_term, |entry| entry.term)
     }
 
     /// Index of the first entry held.
@@ -165,10 +167,13 @@
 
     /// The last membership in the entries after the base, with its index.
     pub fn last_membership(&self) -> Option<(Index, &Membership)> {
-        self.entries.iter().rev().find_map(|entry| match &entry.payload {
-            Payload::Membership(membership) => Some((entry.index, membership)),
-            Payload::Noop | Payload::Command(_) => None,
-        })
+        self.entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.payload {
+                Payload::Membership(membership) => Some((entry.index, membership)),
+                Payload::Noop | Payload::Command(_) => None,
+            })
     }
 
     /// Number of entries held.
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -308,7 +308,11 @@
 
     /// Proposes a command; the index and term identify it among the committed
     /// entries.
-    pub fn propose(&mut self, command: Vec<u8>, now: Millis) -> Result<(Index, Term), ProposeError> {
+    pub fn propose(
+        &mut self,
+        command: Vec<u8>,
+        now: Millis,
+    ) -> Result<(Index, Term), ProposeError> {
         self.now = self.now.max(now);
         if self.role != Role::Leader {
             return Err(ProposeError::NotLeader);
@@ -422,7 +426,14 @@
                 entries,
                 commit,
                 freshness,
-            } => self.on_append(from, previous_index, previous_term, entries, commit, freshness),
+            } => self.on_append(
+                from,
+                previous_index,
+                previous_term,
+                entries,
+                commit,
+                freshness,
+            ),
             MessageBody::AppendReply {
                 accepted,
                 match_index,
--- a/crates/control/src/configuration_state.rs
+++ b/crates/control/src/configuration_state.rs
@@ -116,10 +116,7 @@
         if request.base_revision != current {
             return ChangeOutcome::Conflict { current };
         }
-        let next = self
-            .replicated
-            .configuration
-            .with_change(&request.document);
+        let next = self.replicated.configuration.with_change(&request.document);
         let configuration = match next {
             Ok(configuration) => configuration,
             Err(errors) => return ChangeOutcome::Invalid(errors),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms of one process.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, CounterVec, Opts,
+    CounterVec, Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
 };
 
@@ -69,11 +69,16 @@
             metric
         };
         let stage_cost = CounterVec::new(
-            Opts::new("silversail_stage_cost_ms_total", "Back-end milliseconds consumed"),
+            Opts::new(
+                "silversail_stage_cost_ms_total",
+                "Back-end milliseconds consumed",
+            ),
             &["kind", "tenant", "model"],
         )
         .expect(VALID);
-        registry.register(Box::new(stage_cost.clone())).expect(VALID);
+        registry
+            .register(Box::new(stage_cost.clone()))
+            .expect(VALID);
         let leads = IntGaugeVec::new(
             Opts::new("silversail_leads", "1 where this process leads the group"),
             &["group"],
@@ -87,7 +92,11 @@
                 &["pipeline", "outcome", "code"],
             ),
             refusals: counter("silversail_refusals_total", "Requests refused", &["reason"]),
-            retries: counter("silversail_retries_total", "Stage calls repeated", &["reason"]),
+            retries: counter(
+                "silversail_retries_total",
+                "Stage calls repeated",
+                &["reason"],
+            ),
             late_answers: counter(
                 "silversail_late_answers_total",
                 "Back-end answers dropped as late",
@@ -109,7 +118,11 @@
             open_requests: gauge("silversail_open_requests", "Requests under way"),
             queued_stages: gauge("silversail_queued_stages", "Stages waiting for a back end"),
             revision: gauge("silversail_configuration_revision", "Revision in force"),
-            peer_sent: counter("silversail_peer_sent_total", "Messages to peers", &["result"]),
+            peer_sent: counter(
+                "silversail_peer_sent_total",
+                "Messages to peers",
+                &["result"],
+            ),
             peer_received: counter(
                 "silversail_peer_received_total",
                 "Messages from peers",
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -201,7 +201,9 @@
             return;
         };
         match message {
-            SessionMessage::Heartbeat(heartbeat) => call!([voter.relay], heartbeat(from, heartbeat)),
+            SessionMessage::Heartbeat(heartbeat) => {
+                call!([voter.relay], heartbeat(from, heartbeat))
+            }
             SessionMessage::Reports(reports) => call!([voter.relay], reports(reports)),
             SessionMessage::View(view) => call!([voter.relay], view(view)),
             SessionMessage::Reply(_) | SessionMessage::Push(_) => {}
@@ -325,7 +327,11 @@
             configuration_age_ms: state.freshness.age(now),
             open_requests: self.metrics.open_requests.get(),
             queued_stages: self.metrics.queued_stages.get(),
-            usable_nodes: state.view.usable_nodes().map(|one| one.node.0.clone()).collect(),
+            usable_nodes: state
+                .view
+                .usable_nodes()
+                .map(|one| one.node.0.clone())
+                .collect(),
             leaving_machines: backends
                 .values()
                 .filter(|backend| state.is_leaving(&backend.address))
@@ -458,18 +464,23 @@
             None
         };
         let control_proposer = self.proposer(GroupId::Control, &outbox);
-        let ledger_proposers: Vec<ActorOwn<ProposerActor>> = (0..self.settings.cluster.ledger_groups)
-            .map(|part| self.proposer(GroupId::Ledger(part), &outbox))
-            .collect();
+        let ledger_proposers: Vec<ActorOwn<ProposerActor>> =
+            (0..self.settings.cluster.ledger_groups)
+                .map(|part| self.proposer(GroupId::Ledger(part), &outbox))
+                .collect();
         let agents = Agents::new();
         let requests = self.request_actor(&agents, &state, &ledger_proposers);
         let session = self.session_actor(&outbox, &state, &requests);
         let server = self.caller_server()?;
-        operators::start(&self.settings.operators, self.events.clone(), self.metrics.clone())
-            .map_err(|error| {
-                let message = format!("operators {}: {error}", self.settings.operators);
-                NodeError::new(ResultCode::AddressInUse, message)
-            })?;
+        operators::start(
+            &self.settings.operators,
+            self.events.clone(),
+            self.metrics.clone(),
+        )
+        .map_err(|error| {
+            let message = format!("operators {}: {error}", self.settings.operators);
+            NodeError::new(ResultCode::AddressInUse, message)
+        })?;
         let engine_targets = self.start_pollers(agents);
         self.listen_to_signals()?;
         log::info!(event = "started", node = self.settings.node.as_str(), incarnation = self.incarnation; "silversaild started");
@@ -692,7 +703,10 @@
         };
         let handler = CallerHandler::new(self.events.clone(), self.metrics.clone());
         HttpServer::start(config, Arc::new(handler)).map_err(|error| {
-            NodeError::new(ResultCode::AddressInUse, format!("callers {address}: {error}"))
+            NodeError::new(
+                ResultCode::AddressInUse,
+                format!("callers {address}: {error}"),
+            )
         })
     }
 
@@ -750,7 +764,11 @@
         .position(|node| node.name == settings.node)
         .unwrap_or_default();
     let zone_of = |name: &NodeName| {
-        let node = settings.cluster.nodes.iter().find(|node| node.name == *name);
+        let node = settings
+            .cluster
+            .nodes
+            .iter()
+            .find(|node| node.name == *name);
         node.map(|node| node.zone.as_str())
     };
     let own_zone = Some(settings.own_node().zone.as_str());
--- a/crates/daemon/src/pollers.rs
+++ b/crates/daemon/src/pollers.rs
@@ -24,7 +24,12 @@
         let (agents, targets, events) = (agents.clone(), targets.clone(), events.clone());
         spawn("load-poller", move || loop {
             let mine: Vec<(BackendName, String)> = match targets.lock() {
-                Ok(targets) => targets.iter().skip(part).step_by(LOAD_THREADS).cloned().collect(),
+                Ok(targets) => targets
+                    .iter()
+                    .skip(part)
+                    .step_by(LOAD_THREADS)
+                    .cloned()
+                    .collect(),
                 Err(_) => return,
             };
             for (backend, address) in mine {
--- a/crates/daemon/src/replica/actor.rs
+++ b/crates/daemon/src/replica/actor.rs
@@ -225,7 +225,11 @@
                 let is_voter = stored.meta.membership.is_voter(prober);
                 Some(Snapshot {
                     meta: stored.meta.clone(),
-                    data: if is_voter { stored.data.clone() } else { Vec::new() },
+                    data: if is_voter {
+                        stored.data.clone()
+                    } else {
+                        Vec::new()
+                    },
                 })
             }
         };
@@ -356,9 +360,10 @@
         let membership = replica.membership().clone();
         self.joins
             .retain(|_, join| !membership.is_voter(join.replica));
-        let step = self.joins.values().find_map(|join| {
-            next_membership(&membership, join, replica.learner_lag(join.replica))
-        });
+        let step = self
+            .joins
+            .values()
+            .find_map(|join| next_membership(&membership, join, replica.learner_lag(join.replica)));
         if let Some(next) = step {
             self.propose_membership(next, now);
         }
@@ -467,11 +472,9 @@
         for entry in entries {
             self.applied_since_compaction += 1;
             let reply = match &entry.payload {
-                Payload::Command(command) => self
-                    .setup
-                    .machine
-                    .borrow_mut()
-                    .apply(entry.index, command),
+                Payload::Command(command) => {
+                    self.setup.machine.borrow_mut().apply(entry.index, command)
+                }
                 Payload::Noop | Payload::Membership(_) => Vec::new(),
             };
             if let Some(pending) = self.proposals.remove(&entry.index) {
@@ -507,11 +510,5 @@
 }
 
 fn new_replica<M>(setup: &ReplicaSetup<M>, stored: StoredState, now: Millis) -> Replica {
-    Replica::new(
-        setup.replica,
-        setup.config.clone(),
-        stored,
-        setup.seed,
-        now,
-    )
+    Replica::new(setup.replica, setup.config.clone(), stored, setup.seed, now)
 }
--- a/crates/daemon/src/replica/formation.rs
+++ b/crates/daemon/src/replica/formation.rs
@@ -72,7 +72,10 @@
         }
         self.empty.insert(from, replica);
         let is_first = self.voters.iter().min() == Some(&self.node);
-        let all_empty = self.voters.iter().all(|voter| self.empty.contains_key(voter));
+        let all_empty = self
+            .voters
+            .iter()
+            .all(|voter| self.empty.contains_key(voter));
         if !is_first || !all_empty {
             return FormationStep::Wait;
         }
--- a/crates/daemon/src/requests/accept.rs
+++ b/crates/daemon/src/requests/accept.rs
@@ -32,7 +32,10 @@
 
 impl RequestActor {
     pub(crate) fn accept(&mut self, cx: CX![], request: CallerRequest) {
-        let request_id = format!("{}-{:x}-{}", self.setup.node, self.setup.incarnation, request.number);
+        let request_id = format!(
+            "{}-{:x}-{}",
+            self.setup.node, self.setup.incarnation, request.number
+        );
         match self.check(&request, &request_id) {
             Ok(active) => {
                 let mut active = active;
@@ -171,7 +174,11 @@
         let known = {
             let state = self.setup.state.borrow();
             let name = PipelineName::from(pipeline);
-            state.configuration.configuration().pipelines.contains_key(&name)
+            state
+                .configuration
+                .configuration()
+                .pipelines
+                .contains_key(&name)
         };
         let label = if known { pipeline } else { "" };
         let metrics = &self.setup.metrics;
--- a/crates/daemon/src/requests/active.rs
+++ b/crates/daemon/src/requests/active.rs
@@ -3,7 +3,9 @@
 use serde_json::{Map, Value};
 use silversail_http::Responder;
 use silversail_ledger::RequestKey;
-use silversail_model::{BackendName, Pipeline, ResultCode, Stage, StageKind, StageName, TenantName};
+use silversail_model::{
+    BackendName, Pipeline, ResultCode, Stage, StageKind, StageName, TenantName,
+};
 use silversail_routing::StageEstimate;
 use std::rc::Rc;
 use std::sync::atomic::AtomicBool;
--- a/crates/daemon/src/requests/admit.rs
+++ b/crates/daemon/src/requests/admit.rs
@@ -109,7 +109,9 @@
                 let message = "no back end may serve a stage";
                 return Err(Refusal::soon(ResultCode::NoBackend, message));
             }
-            AdmissionDecision::Refuse { retry_after_ms } if self.setup.settings.routing.admission => {
+            AdmissionDecision::Refuse { retry_after_ms }
+                if self.setup.settings.routing.admission =>
+            {
                 return Err(Refusal {
                     code: ResultCode::DeadlineUnreachable,
                     message: "the whole answer can't be expected within the deadline",
--- a/crates/daemon/src/requests/dispatch.rs
+++ b/crates/daemon/src/requests/dispatch.rs
@@ -40,7 +40,10 @@
         };
         let expected_ms = self.pools.service_ms(&pipeline.name, position, stage);
         let rest_ms: f64 = (position..pipeline.stages.len())
-            .map(|at| self.pools.service_ms(&pipeline.name, at, &pipeline.stages[at]))
+            .map(|at| {
+                self.pools
+                    .service_ms(&pipeline.name, at, &pipeline.stages[at])
+            })
             .sum();
         let request = &self.requests[&number];
         let deadline = self.setup.clock.millis(request.deadline);
@@ -202,7 +205,8 @@
         let remaining = request.deadline.saturating_duration_since(cx.now());
         let remaining_ms = remaining.as_secs_f64() * 1_000.0;
         let is_under_admission = self.setup.settings.routing.admission;
-        remaining.is_zero() || (is_under_admission && remaining_ms < queued.expected_ms * HOPELESS_SHARE)
+        remaining.is_zero()
+            || (is_under_admission && remaining_ms < queued.expected_ms * HOPELESS_SHARE)
     }
 
     /// Commits the claim of a call to a majority of disks before it leaves.
@@ -239,7 +243,10 @@
     ) {
         let is_current = self.requests.get(&number).is_some_and(|request| {
             request.phase == Phase::Claiming
-                && request.call.as_ref().is_some_and(|call| call.attempt == attempt)
+                && request
+                    .call
+                    .as_ref()
+                    .is_some_and(|call| call.attempt == attempt)
         });
         if !is_current {
             return;
@@ -269,7 +276,9 @@
         let call = self.requests.get(&number).and_then(|one| one.call.as_ref());
         call.is_some_and(|call| {
             let backends = &state.configuration.configuration().backends;
-            let is_drained = backends.get(&call.backend).is_none_or(|backend| backend.drain);
+            let is_drained = backends
+                .get(&call.backend)
+                .is_none_or(|backend| backend.drain);
             !is_drained && !state.is_leaving(&call.address)
         })
     }
@@ -335,7 +344,10 @@
         }
         log::debug!(event = "call", request = request.request_id.as_str(), stage = stage.name.as_str(), attempt = attempt; "stage sent");
         let is_generation = stage.kind == StageKind::Generation;
-        let started = self.setup.calls.start(attempt, stage_call, is_generation, streams);
+        let started = self
+            .setup
+            .calls
+            .start(attempt, stage_call, is_generation, streams);
         if started.is_err() {
             let failure = silversail_backend::CallFailure::NotRun("no thread for the call".into());
             self.take_result(cx, attempt, Duration::ZERO, Err(failure));
--- a/crates/daemon/src/requests/finish.rs
+++ b/crates/daemon/src/requests/finish.rs
@@ -219,7 +219,11 @@
     }
 
     /// Takes a request out of all tables.
-    pub(crate) fn take_request(&mut self, _: CX![], number: RequestNumber) -> Option<ActiveRequest> {
+    pub(crate) fn take_request(
+        &mut self,
+        _: CX![],
+        number: RequestNumber,
+    ) -> Option<ActiveRequest> {
         self.queue.remove(number);
         self.release_estimates(number);
         self.cancel_call(number);
--- a/crates/daemon/src/requests/outcome.rs
+++ b/crates/daemon/src/requests/outcome.rs
@@ -35,7 +35,10 @@
         }
         let number = outstanding.request;
         let is_current = self.requests.get(&number).is_some_and(|request| {
-            request.call.as_ref().is_some_and(|call| call.attempt == attempt)
+            request
+                .call
+                .as_ref()
+                .is_some_and(|call| call.attempt == attempt)
         });
         if !is_current {
             // Of an attempt that the request no longer waits for.
@@ -66,7 +69,9 @@
         let position = request.stage;
         let pipeline = request.pipeline.clone();
         let stage = &pipeline.stages[position];
-        let queue_time = request.called_at.saturating_duration_since(request.queued_at);
+        let queue_time = request
+            .called_at
+            .saturating_duration_since(request.queued_at);
         request.reports.push(StageReport {
             stage: stage.name.clone(),
             kind: stage.kind,
@@ -91,16 +96,23 @@
             self.admission.remove(estimate);
         }
         let service_ms = service.as_secs_f64() * 1_000.0;
-        self.pools.served(&pipeline.name, position, stage, service_ms);
+        self.pools
+            .served(&pipeline.name, position, stage, service_ms);
         let metrics = &self.setup.metrics;
         let kind = stage.kind.as_str();
         let model = stage.model.as_deref().unwrap_or_default();
-        metrics.stage_seconds.with_label_values(&[kind]).observe(service.as_secs_f64());
+        metrics
+            .stage_seconds
+            .with_label_values(&[kind])
+            .observe(service.as_secs_f64());
         metrics
             .stage_cost
             .with_label_values(&[kind, tenant.as_str(), model])
             .inc_by(output.cost_ms.max(0.0));
-        metrics.tokens.with_label_values(&[model]).inc_by(u64::from(output.tokens));
+        metrics
+            .tokens
+            .with_label_values(&[model])
+            .inc_by(u64::from(output.tokens));
         if is_last {
             self.complete(cx, number);
         } else {
@@ -132,7 +144,11 @@
         if may_repeat && !is_final && request.attempts < MAX_ATTEMPTS {
             if self.take_retry(&call) {
                 let reason = code.reason();
-                self.setup.metrics.retries.with_label_values(&[reason]).inc();
+                self.setup
+                    .metrics
+                    .retries
+                    .with_label_values(&[reason])
+                    .inc();
                 self.start_stage(cx, number);
                 return;
             }
@@ -164,7 +180,10 @@
         let Some(request) = self.requests.get_mut(&number) else {
             return;
         };
-        let is_current = request.call.as_ref().is_some_and(|call| call.attempt == attempt);
+        let is_current = request
+            .call
+            .as_ref()
+            .is_some_and(|call| call.attempt == attempt);
         if !is_current || !request.streams_current_stage() {
             return;
         }
@@ -208,9 +227,10 @@
             Phase::Owning | Phase::Queued | Phase::Claiming => {
                 (ResultCode::DeadlineExpired, "the deadline passed")
             }
-            Phase::Calling if request.current_stage().is_repeatable() => {
-                (ResultCode::DeadlineMissed, "the deadline passed during a stage")
-            }
+            Phase::Calling if request.current_stage().is_repeatable() => (
+                ResultCode::DeadlineMissed,
+                "the deadline passed during a stage",
+            ),
             Phase::Calling => (
                 ResultCode::DeadlineWhileSent,
                 "the deadline passed while a call that may not be repeated was out",
--- a/crates/daemon/src/requests/own.rs
+++ b/crates/daemon/src/requests/own.rs
@@ -223,7 +223,13 @@
     /// Ends a request that has its key, or wants it, with a refusal: the key is
     /// fenced first, so that no other copy runs after the caller was told
     /// "not run".
-    pub(crate) fn fence(&mut self, cx: CX![], number: RequestNumber, body: RefusalBody, code: ResultCode) {
+    pub(crate) fn fence(
+        &mut self,
+        cx: CX![],
+        number: RequestNumber,
+        body: RefusalBody,
+        code: ResultCode,
+    ) {
         let Some(request) = self.requests.get_mut(&number) else {
             return;
         };
@@ -271,7 +277,13 @@
             }
             Some(_) | None => {
                 let message = format!("{}; the key can't be fenced", body.message);
-                self.answer_now(cx, number, ResultCode::FenceUnavailable, &message, body.retry_after_ms);
+                self.answer_now(
+                    cx,
+                    number,
+                    ResultCode::FenceUnavailable,
+                    &message,
+                    body.retry_after_ms,
+                );
             }
         }
         self.settle(cx);
--- a/crates/daemon/src/requests/pools.rs
+++ b/crates/daemon/src/requests/pools.rs
@@ -65,9 +65,7 @@
 
     /// Back ends of a pool.
     pub fn members(&self, pool: PoolId) -> &[BackendName] {
-        self.members
-            .get(pool.0 as usize)
-            .map_or(&[], Vec::as_slice)
+        self.members.get(pool.0 as usize).map_or(&[], Vec::as_slice)
     }
 
     /// Expected service time of a stage, in milliseconds.
--- a/crates/daemon/src/session/node_state.rs
+++ b/crates/daemon/src/session/node_state.rs
@@ -46,11 +46,8 @@
     /// Takes in a machine's state; an older list never undoes a newer one's
     /// mark. True when the mark changed.
     pub fn merge_machine(&mut self, state: &MachineState) -> bool {
-        let mut known: Vec<MachineState> = self
-            .machines
-            .remove(&state.address)
-            .into_iter()
-            .collect();
+        let mut known: Vec<MachineState> =
+            self.machines.remove(&state.address).into_iter().collect();
         let was_leaving = known.first().is_some_and(|machine| machine.leaving);
         merge_machine(&mut known, state);
         let Some(merged) = known.pop() else {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -246,7 +246,11 @@
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let invalid = |message: String| {
-            SettingsError::new(ResultCode::InvalidSettings, path.display().to_string(), message)
+            SettingsError::new(
+                ResultCode::InvalidSettings,
+                path.display().to_string(),
+                message,
+            )
         };
         let text = std::fs::read_to_string(path).map_err(|error| invalid(error.to_string()))?;
         let settings: Settings =
@@ -278,18 +282,30 @@
             let path = format!("cluster.nodes[{position}]");
             if !silversail_model::identifiers::is_valid_name(node.name.as_str()) {
                 let message = "a name takes 1 to 128 letters, digits, '-', '_' and '.'";
-                return Err(SettingsError::new(ResultCode::InvalidName, format!("{path}.name"), message));
+                return Err(SettingsError::new(
+                    ResultCode::InvalidName,
+                    format!("{path}.name"),
+                    message,
+                ));
             }
             if !names.insert(&node.name) {
                 let message = format!("'{}' stands twice", node.name);
-                return Err(SettingsError::new(ResultCode::DuplicateName, format!("{path}.name"), message));
+                return Err(SettingsError::new(
+                    ResultCode::DuplicateName,
+                    format!("{path}.name"),
+                    message,
+                ));
             }
             check_address(&format!("{path}.peer"), &node.peer)?;
             check_address(&format!("{path}.callers"), &node.callers)?;
         }
         if !names.contains(&self.node) {
             let message = format!("'{}' is not among cluster.nodes", self.node);
-            return Err(SettingsError::new(ResultCode::UnknownReference, "node", message));
+            return Err(SettingsError::new(
+                ResultCode::UnknownReference,
+                "node",
+                message,
+            ));
         }
         Ok(())
     }
@@ -324,7 +340,11 @@
 
     fn validate_ranges(&self) -> Result<(), SettingsError> {
         let out_of_range = |path: &str, message: &str| {
-            Err(SettingsError::new(ResultCode::ValueOutOfRange, path, message))
+            Err(SettingsError::new(
+                ResultCode::ValueOutOfRange,
+                path,
+                message,
+            ))
         };
         if self.cluster.ledger_groups == 0 {
             return out_of_range("cluster.ledger_groups", "must be at least 1");
@@ -333,10 +353,16 @@
             return out_of_range("timing", &message);
         }
         if self.timing.node_lease_ms < 2 * self.timing.session_heartbeat_ms {
-            return out_of_range("timing.node_lease_ms", "must be at least 2 session_heartbeat_ms");
+            return out_of_range(
+                "timing.node_lease_ms",
+                "must be at least 2 session_heartbeat_ms",
+            );
         }
         if self.timing.freshness_lease_ms < 2 * self.timing.session_heartbeat_ms {
-            return out_of_range("timing.freshness_lease_ms", "must be at least 2 session_heartbeat_ms");
+            return out_of_range(
+                "timing.freshness_lease_ms",
+                "must be at least 2 session_heartbeat_ms",
+            );
         }
         if self.routing.slot_share <= 0.0 {
             return out_of_range("routing.slot_share", "must be above 0");
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -75,7 +75,9 @@
                 let longest = Duration::from_millis(self.setup.timing.stop_timeout_ms);
                 Some(Step::Draining(now + longest))
             }
-            Step::Draining(until) if now >= until || self.setup.metrics.open_requests.get() == 0 => {
+            Step::Draining(until)
+                if now >= until || self.setup.metrics.open_requests.get() == 0 =>
+            {
                 self.setup.server.stop_accepting();
                 for hand_over in &self.setup.hand_over {
                     fwd!([hand_over], ());
@@ -96,7 +98,10 @@
 
     fn is_in_view(&self) -> bool {
         let state = self.setup.state.borrow();
-        let in_view = state.view.usable_nodes().any(|one| one.node == self.setup.node);
+        let in_view = state
+            .view
+            .usable_nodes()
+            .any(|one| one.node == self.setup.node);
         in_view
     }
 
--- a/crates/daemon/src/surface/callers.rs
+++ b/crates/daemon/src/surface/callers.rs
@@ -110,7 +110,9 @@
     fn reject(&self, reason: RejectReason) -> (ResponseHead, Vec<u8>) {
         let (code, message, retry_after_ms) = match reason {
             RejectReason::BodyTooLarge => (ResultCode::BodyTooLarge, "the body is too large", None),
-            RejectReason::BodyTimeout => (ResultCode::SlowRequest, "the body came too slowly", None),
+            RejectReason::BodyTimeout => {
+                (ResultCode::SlowRequest, "the body came too slowly", None)
+            }
             RejectReason::BodyBroken => (ResultCode::MalformedRequest, "the body broke off", None),
             RejectReason::TooManyConnections => (
                 ResultCode::TooManyRequests,
--- a/crates/daemon/src/surface/operators.rs
+++ b/crates/daemon/src/surface/operators.rs
@@ -74,7 +74,8 @@
             "reason": code.reason(),
             "message": message,
         });
-        if let (Some(fields), serde_json::Value::Object(details)) = (body.as_object_mut(), details) {
+        if let (Some(fields), serde_json::Value::Object(details)) = (body.as_object_mut(), details)
+        {
             fields.extend(details);
         }
         Self {
@@ -161,7 +162,12 @@
 impl OperatorSurface {
     fn serve(&self) {
         while let Ok(mut request) = self.server.recv() {
-            let path = request.url().split('?').next().unwrap_or_default().to_owned();
+            let path = request
+                .url()
+                .split('?')
+                .next()
+                .unwrap_or_default()
+                .to_owned();
             if path == "/metrics" {
                 let response = Response::from_data(self.metrics.render())
                     .with_header(header("Content-Type", "text/plain; version=0.0.4"));
@@ -183,7 +189,9 @@
     fn ask(&self, request: OperatorRequest) -> OperatorReply {
         let (reply, answer) = sync_channel(1);
         let sent = self.events.send(Event::Operator { request, reply });
-        let answered = sent.ok().and_then(|()| answer.recv_timeout(REPLY_TIMEOUT).ok());
+        let answered = sent
+            .ok()
+            .and_then(|()| answer.recv_timeout(REPLY_TIMEOUT).ok());
         answered.unwrap_or_else(|| {
             let message = "no answer in time; resend with the same change identifier";
             OperatorReply::refuse(ResultCode::NoLeader, message, json!({}))
@@ -202,15 +210,18 @@
         (Method::Post, "/v1/configuration/changes") => parse_change(request),
         (method, _) => {
             let message = format!("no {method} {path}");
-            Err(OperatorReply::refuse(ResultCode::UnknownPath, &message, json!({})))
+            Err(OperatorReply::refuse(
+                ResultCode::UnknownPath,
+                &message,
+                json!({}),
+            ))
         }
     }
 }
 
 fn parse_change(request: &mut Request) -> Result<OperatorRequest, OperatorReply> {
-    let malformed = |message: String| {
-        OperatorReply::refuse(ResultCode::MalformedChange, &message, json!({}))
-    };
+    let malformed =
+        |message: String| OperatorReply::refuse(ResultCode::MalformedChange, &message, json!({}));
     let mut bytes = Vec::new();
     request
         .as_reader()
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -98,8 +98,7 @@
             // A refused key stays refused for copies that were sent before the
             // refusal was seen; only the token proves that it was seen.
             Some(outcome) => {
-                outcome.code.outcome() == Outcome::NotRun
-                    && begin.retry_token == Some(record.epoch)
+                outcome.code.outcome() == Outcome::NotRun && begin.retry_token == Some(record.epoch)
             }
             None => begin.take_over == Some(record.epoch) && record.claims.is_empty(),
         };
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -279,7 +279,8 @@
             self.remove(reference);
         }
         for pipeline in &document.pipelines {
-            self.pipelines.insert(pipeline.name.clone(), pipeline.clone());
+            self.pipelines
+                .insert(pipeline.name.clone(), pipeline.clone());
         }
         for backend in &document.backends {
             self.backends.insert(backend.name.clone(), backend.clone());
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub use errors::PeerError;
 pub use message::{
-    Envelope, FormationMessage, GroupId, GroupMessage, PeerMessage, ProposeResult, SessionHeartbeat,
-    SessionMessage, SessionReply,
+    Envelope, FormationMessage, GroupId, GroupMessage, PeerMessage, ProposeResult,
+    SessionHeartbeat, SessionMessage, SessionReply,
 };
 pub use transport::{decode, encode, NngTransport, SendResult, Transport};
--- a/crates/storage/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -39,7 +39,9 @@
 /// Reads the frame at the start of `bytes`: its content.
 pub fn read_frame(bytes: &[u8]) -> Result<&[u8], FrameError> {
     let header = bytes.get(..HEADER_BYTES).ok_or(FrameError::Incomplete)?;
-    let field = |at: usize| u32::from_le_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]]);
+    let field = |at: usize| {
+        u32::from_le_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]])
+    };
     if crc32fast::hash(&header[..8]) != field(8) {
         return Err(FrameError::Damaged);
     }
@@ -54,5 +56,6 @@
 /// Whether any valid frame starts in `bytes`. Used to tell a torn tail, which
 /// nothing follows, from damage to what was synced.
 pub fn contains_frame(bytes: &[u8]) -> bool {
-    (0..bytes.len()).any(|start| read_frame(&bytes[start..]).is_ok_and(|content| !content.is_empty()))
+    (0..bytes.len())
+        .any(|start| read_frame(&bytes[start..]).is_ok_and(|content| !content.is_empty()))
 }
--- a/crates/storage/src/replica_store.rs
+++ b/crates/storage/src/replica_store.rs
@@ -244,7 +244,10 @@
             }
             Err(error) => {
                 if contains_frame(&bytes[offset + 1..]) {
-                    return Err(corrupt(offset, format!("{error:?} record before valid ones")));
+                    return Err(corrupt(
+                        offset,
+                        format!("{error:?} record before valid ones"),
+                    ));
                 }
                 log::warn!(event = "torn_tail_cut", bytes = bytes.len() - offset; "torn tail cut off the log");
                 break;
--- /dev/null
+++ b/crates/testbed/src/emulate/mod.rs
@@ -0,0 +1,113 @@
+//! Emulated back ends in one process: engines, pools, plain services and the
+//! platform's list, each behind its own address.
+
+pub mod config;
+pub mod engine;
+pub mod faults;
+pub mod platform;
+pub mod run_log;
+pub mod service;
+
+pub use config::{EmulatorConfig, EngineConfig, PlatformConfig, ServiceConfig};
+pub use faults::{FaultMode, Faults};
+pub use platform::PlatformHandle;
+pub use run_log::RunLog;
+
+use silversail_http::{Handler, HttpServer, HttpServerConfig};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::runtime::Runtime;
+
+/// Running emulated back ends; dropped, they stop.
+pub struct Emulator {
+    /// Addresses by name.
+    pub addresses: BTreeMap<String, SocketAddr>,
+    /// Faults by name.
+    pub faults: BTreeMap<String, Arc<Faults>>,
+    /// Calls that services ran.
+    pub run_log: Arc<RunLog>,
+    /// The platform's list.
+    pub platform: Option<PlatformHandle>,
+    servers: Vec<HttpServer>,
+    runtime: Option<Runtime>,
+}
+
+impl Emulator {
+    /// Starts everything that `config` names.
+    pub fn start(config: &EmulatorConfig) -> io::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(4)
+            .thread_name("emulator")
+            .enable_all()
+            .build()?;
+        let run_log = Arc::new(RunLog::open(config.run_log.as_deref())?);
+        let mut emulator = Self {
+            addresses: BTreeMap::new(),
+            faults: BTreeMap::new(),
+            run_log,
+            platform: None,
+            servers: Vec::new(),
+            runtime: None,
+        };
+        for engine in &config.engines {
+            let faults = emulator.add_faults(&engine.name);
+            let handler = engine::EngineHandler::start(engine.clone(), faults, runtime.handle());
+            emulator.serve(&engine.name, &engine.address, Arc::new(handler))?;
+        }
+        for service in &config.services {
+            let faults = emulator.add_faults(&service.name);
+            let log = emulator.run_log.clone();
+            let handler = service::ServiceHandler::new(
+                service.clone(),
+                faults,
+                log,
+                runtime.handle().clone(),
+                config.seed,
+            );
+            emulator.serve(&service.name, &service.address, Arc::new(handler))?;
+        }
+        if let Some(platform) = &config.platform {
+            let handle = PlatformHandle::new(platform.clone());
+            emulator.platform = Some(handle.clone());
+            emulator.serve("platform", &platform.address, Arc::new(handle))?;
+        }
+        emulator.runtime = Some(runtime);
+        Ok(emulator)
+    }
+
+    fn add_faults(&mut self, name: &str) -> Arc<Faults> {
+        let faults = Arc::new(Faults::default());
+        self.faults.insert(name.to_owned(), faults.clone());
+        faults
+    }
+
+    fn serve(&mut self, name: &str, address: &str, handler: Arc<dyn Handler>) -> io::Result<()> {
+        let config = HttpServerConfig {
+            threads: 1,
+            ..HttpServerConfig::on(address)
+        };
+        let server = HttpServer::start(config, handler)?;
+        self.addresses.insert(name.to_owned(), server.address());
+        self.servers.push(server);
+        Ok(())
+    }
+
+    /// Faults of a back end.
+    ///
+    /// # Panics
+    /// When there is no such back end.
+    pub fn faults(&self, name: &str) -> &Faults {
+        &self.faults[name]
+    }
+}
+
+impl Drop for Emulator {
+    fn drop(&mut self) {
+        self.servers.clear();
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/emulate/platform.rs
@@ -0,0 +1,109 @@
+//! The platform's list of machines, which each reader sees with its own lag.
+
+use super::config::PlatformConfig;
+use serde_json::json;
+use silversail_http::{Handler, RejectReason, Request, Responder, ResponseHead};
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const JSON: &str = "application/json";
+
+struct Version {
+    since: Instant,
+    leaving: BTreeSet<String>,
+}
+
+struct State {
+    config: PlatformConfig,
+    machines: Vec<String>,
+    versions: Vec<Version>,
+}
+
+/// The list; clones share it.
+#[derive(Clone)]
+pub struct PlatformHandle(Arc<Mutex<State>>);
+
+impl PlatformHandle {
+    /// A list on which all machines are live.
+    pub fn new(config: PlatformConfig) -> Self {
+        let first = Version {
+            since: Instant::now(),
+            leaving: BTreeSet::new(),
+        };
+        let machines = config.machines.clone();
+        Self(Arc::new(Mutex::new(State {
+            config,
+            machines,
+            versions: vec![first],
+        })))
+    }
+
+    /// Adds a machine to the list.
+    pub fn add_machine(&self, address: &str) {
+        let mut state = self.0.lock().expect("not poisoned");
+        state.machines.push(address.to_owned());
+    }
+
+    /// Marks a machine as leaving, or as live again; readers see it after
+    /// their lag.
+    pub fn set_leaving(&self, address: &str, leaving: bool) {
+        let mut state = self.0.lock().expect("not poisoned");
+        let mut marks = state
+            .versions
+            .last()
+            .map(|version| version.leaving.clone())
+            .unwrap_or_default();
+        if leaving {
+            marks.insert(address.to_owned());
+        } else {
+            marks.remove(address);
+        }
+        state.versions.push(Version {
+            since: Instant::now(),
+            leaving: marks,
+        });
+    }
+
+    fn list_for(&self, reader: &str) -> serde_json::Value {
+        let state = self.0.lock().expect("not poisoned");
+        let lag = reader
+            .chars()
+            .last()
+            .and_then(|digit| digit.to_digit(10))
+            .and_then(|position| state.config.lags_ms.get(position as usize))
+            .map_or(Duration::ZERO, |lag| Duration::from_millis(*lag));
+        let seen = state
+            .versions
+            .iter()
+            .rposition(|version| version.since.elapsed() >= lag)
+            .unwrap_or(0);
+        let leaving = &state.versions[seen].leaving;
+        let machines: Vec<_> = state
+            .machines
+            .iter()
+            .map(|address| {
+                let state = if leaving.contains(address) {
+                    "leaving"
+                } else {
+                    "live"
+                };
+                json!({ "address": address, "state": state })
+            })
+            .collect();
+        json!({ "version": seen + 1, "machines": machines })
+    }
+}
+
+impl Handler for PlatformHandle {
+    fn handle(&self, request: Request, responder: Responder) -> Box<dyn FnOnce() + Send> {
+        let reader = request.query.strip_prefix("reader=").unwrap_or_default();
+        let body = self.list_for(reader).to_string();
+        responder.respond(ResponseHead::new(200, JSON), body.into_bytes());
+        Box::new(|| {})
+    }
+
+    fn reject(&self, _reason: RejectReason) -> (ResponseHead, Vec<u8>) {
+        (ResponseHead::new(503, JSON), Vec::new())
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/emulate/service.rs
@@ -0,0 +1,150 @@
+//! Pools and plain services.
+
+use super::config::ServiceConfig;
+use super::faults::{FaultMode, Faults};
+use super::run_log::RunLog;
+use crate::history::RunRecord;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use serde_json::{json, Value};
+use silversail_http::{Handler, RejectReason, Request, Responder, ResponseHead};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
+
+const JSON: &str = "application/json";
+
+#[derive(Deserialize)]
+struct CallBody {
+    attempt: String,
+    stage: String,
+    input: Value,
+}
+
+struct Shared {
+    config: ServiceConfig,
+    faults: Arc<Faults>,
+    log: Arc<RunLog>,
+    slots: Semaphore,
+    random: Mutex<ChaCha8Rng>,
+}
+
+/// Answers calls of one pool member or service.
+pub struct ServiceHandler {
+    shared: Arc<Shared>,
+    runtime: Handle,
+}
+
+impl ServiceHandler {
+    /// A service by its configuration.
+    pub fn new(
+        config: ServiceConfig,
+        faults: Arc<Faults>,
+        log: Arc<RunLog>,
+        runtime: Handle,
+        seed: u64,
+    ) -> Self {
+        let shared = Shared {
+            slots: Semaphore::new(config.slots),
+            config,
+            faults,
+            log,
+            random: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+        };
+        Self {
+            shared: Arc::new(shared),
+            runtime,
+        }
+    }
+}
+
+impl Handler for ServiceHandler {
+    fn handle(&self, request: Request, responder: Responder) -> Box<dyn FnOnce() + Send> {
+        let shared = self.shared.clone();
+        self.runtime.spawn(async move {
+            shared.call(request, responder).await;
+        });
+        // A call that began runs to its end, whoever waits for it.
+        Box::new(|| {})
+    }
+
+    fn reject(&self, _reason: RejectReason) -> (ResponseHead, Vec<u8>) {
+        (ResponseHead::new(503, JSON), b"{\"not_run\":true}".to_vec())
+    }
+}
+
+impl Shared {
+    async fn call(&self, request: Request, responder: Responder) {
+        let Ok(body) = serde_json::from_slice::<CallBody>(&request.body) else {
+            responder.respond(ResponseHead::new(400, JSON), b"{}".to_vec());
+            return;
+        };
+        if self.faults.mode() == FaultMode::Refuse {
+            let refusal = json!({ "not_run": true }).to_string();
+            responder.respond(ResponseHead::new(503, JSON), refusal.into_bytes());
+            return;
+        }
+        let Ok(_slot) = self.slots.acquire().await else {
+            return;
+        };
+        if self.config.logged {
+            self.log.add(RunRecord {
+                service: self.config.name.clone(),
+                attempt: body.attempt.clone(),
+                input: body.input.clone(),
+            });
+        }
+        let service_ms = self.service_ms();
+        tokio::time::sleep(Duration::from_secs_f64(service_ms / 1_000.0)).await;
+        self.answer(body, service_ms, responder).await;
+    }
+
+    fn service_ms(&self) -> f64 {
+        let jitter = self.config.jitter;
+        let factor = match jitter > 0.0 {
+            true => {
+                let mut random = self.random.lock().expect("not poisoned");
+                random.gen_range(1.0 - jitter..1.0 + jitter)
+            }
+            false => 1.0,
+        };
+        self.config.service_ms * factor * self.faults.slowdown()
+    }
+
+    async fn answer(&self, body: CallBody, service_ms: f64, responder: Responder) {
+        let attempt = match self.faults.mode() {
+            FaultMode::None | FaultMode::Refuse => body.attempt,
+            FaultMode::WrongAttempt => format!("other-{}", body.attempt),
+            FaultMode::Error => {
+                responder.respond(ResponseHead::new(500, JSON), b"{}".to_vec());
+                return;
+            }
+            FaultMode::Garbage => {
+                responder.respond(ResponseHead::new(200, JSON), b"<html>".to_vec());
+                return;
+            }
+            FaultMode::Hang => {
+                tokio::time::sleep(Duration::from_secs(600)).await;
+                return;
+            }
+            FaultMode::Cut => {
+                // The connection breaks inside the body.
+                responder.head(ResponseHead::new(200, JSON));
+                responder.chunk(b"{\"attempt\":".to_vec());
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                return;
+            }
+        };
+        let answer = json!({
+            "attempt": attempt,
+            "output": { "by": self.config.name, "stage": body.stage, "input": body.input },
+            "cost_ms": service_ms,
+        });
+        responder.respond(
+            ResponseHead::new(200, JSON),
+            answer.to_string().into_bytes(),
+        );
+    }
+}
