Simulate the daemon's actors under virtual time, and mend what it found

Every keyed request now goes through the ledger, and every refusal of one fences its key; a request rejected unread gets 'unknown' if it has a key. - What a dead owner may have run of a key that is taken over counts as run.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod emulate;
 pub mod load;
 pub mod request;
+pub mod simulate;
 pub mod status;
 
 use crate::errors::CliError;
@@ -32,6 +33,8 @@
     Load(load::Load),
     /// See [`request::Request`].
     Request(request::Request),
+    /// See [`simulate::Simulate`].
+    Simulate(simulate::Simulate),
 }
 
 impl Command {
@@ -47,6 +50,7 @@
             Command::Emulate(command) => command.run(),
             Command::Load(command) => command.run(),
             Command::Request(command) => command.run(),
+            Command::Simulate(command) => command.run(),
         }
     }
 }
--- /dev/null
+++ b/crates/cli/src/commands/simulate.rs
@@ -0,0 +1,76 @@
+//! `simulate`.
+
+use crate::errors::CliError;
+use argh::FromArgs;
+use silversail_simulation::{run_seed, SeedReport};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::thread;
+
+/// Runs the daemon's actors under virtual time with faults, a run a seed.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "simulate",
+    example = "{command_name} --seeds 100",
+    example = "{command_name} --first-seed 42 --seeds 1"
+)]
+pub struct Simulate {
+    /// how many seeds
+    #[argh(option, default = "20")]
+    seeds: u64,
+    /// first seed
+    #[argh(option, default = "0")]
+    first_seed: u64,
+    /// seeds that run side by side
+    #[argh(option, default = "4")]
+    threads: usize,
+}
+
+impl Simulate {
+    /// Runs all seeds; fails when any breaks what must hold.
+    pub fn run(self) -> Result<(), CliError> {
+        let next = AtomicU64::new(self.first_seed);
+        let end = self.first_seed + self.seeds;
+        let reports: Mutex<Vec<SeedReport>> = Mutex::new(Vec::new());
+        thread::scope(|scope| {
+            for _ in 0..self.threads {
+                scope.spawn(|| loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= end {
+                        return;
+                    }
+                    let report = run_seed(seed);
+                    if !report.failures.is_empty() {
+                        println!("seed {seed}: {:#?}", report.failures);
+                        println!("repeat with: silversail simulate --first-seed {seed} --seeds 1");
+                    }
+                    reports.lock().expect("not poisoned").push(report);
+                });
+            }
+        });
+        summarize(&reports.into_inner().expect("not poisoned"))
+    }
+}
+
+fn summarize(reports: &[SeedReport]) -> Result<(), CliError> {
+    let sum = |of: fn(&SeedReport) -> usize| reports.iter().map(of).sum::<usize>();
+    let mut recoveries: Vec<u64> = reports.iter().map(|report| report.recovery_ms).collect();
+    recoveries.sort_unstable();
+    let failed = sum(|report| usize::from(!report.failures.is_empty()));
+    println!(
+        "{} seeds, {failed} failed; {} changes accepted, {} calls answered, {} calls ran, {} crashes, {} disks emptied; recovery median {} ms, worst {} ms",
+        reports.len(),
+        sum(|report| report.accepted),
+        sum(|report| report.outcomes.values().sum()),
+        sum(|report| report.runs),
+        sum(|report| report.crashes),
+        sum(|report| report.wipes),
+        recoveries.get(recoveries.len() / 2).unwrap_or(&0),
+        recoveries.last().unwrap_or(&0),
+    );
+    match failed {
+        0 => Ok(()),
+        _ => Err(CliError::Local(format!("{failed} seeds failed"))),
+    }
+}
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -81,7 +81,7 @@
                 accepted: false,
                 match_index: 0,
                 round: 0,
-                sent_at: self.now,
+                sent_at: self.stamp(),
             };
             self.send(from, self.hard_state.term, body);
             return;
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -23,7 +23,7 @@
 pub use freshness::Freshness;
 pub use log::{Entry, HardState, Index, Payload, ReplicatedLog, Snapshot, SnapshotMeta, Term};
 pub use membership::{next_membership, JoinRequest, Membership, ReplicaId};
-pub use message::{Message, MessageBody};
+pub use message::{Message, MessageBody, Stamp};
 pub use replica::{Output, ProposeError, Replica, Role, StoredState, WriteBatch};
 pub use state_machine::StateMachine;
 
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -69,8 +69,8 @@
         match_index: Index,
         /// The round that this answers.
         round: u64,
-        /// The follower's clock when it sent this.
-        sent_at: Millis,
+        /// The follower's process and clock when it sent this.
+        sent_at: Stamp,
     },
     /// Replaces a follower's state, when the entries it lacks are compacted.
     InstallSnapshot {
@@ -92,5 +92,15 @@
     /// milliseconds of the leader's clock.
     pub confirmed_age: Option<Millis>,
     /// The latest `sent_at` that the leader has from this follower.
-    pub echo: Option<Millis>,
+    pub echo: Option<Stamp>,
+}
+
+/// A reading of the clock of one process. Clocks of a replica's former and
+/// present processes can't be compared, so a stamp names its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// The process; grows with each start of a replica.
+    pub incarnation: u64,
+    /// Its clock.
+    pub at: Millis,
 }
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -1,6 +1,7 @@
 //! What a leader knows of each follower.
 
 use crate::log::Index;
+use crate::message::Stamp;
 use crate::Millis;
 
 /// A follower as the leader sees it.
@@ -15,7 +16,7 @@
     /// Latest round that the follower answered.
     pub acknowledged_round: u64,
     /// Latest clock value of the follower, to be echoed.
-    pub echo: Option<Millis>,
+    pub echo: Option<Stamp>,
     /// When the last answer came, on the leader's clock.
     pub last_reply_at: Option<Millis>,
     /// When a snapshot was last sent and is still unanswered.
@@ -35,4 +36,14 @@
             snapshot_sent_at: None,
         }
     }
+
+    /// Takes in the stamp of a reply; replies may come out of order.
+    pub fn note_stamp(&mut self, stamp: Stamp) {
+        let is_newer = self
+            .echo
+            .is_none_or(|known| (stamp.incarnation, stamp.at) > (known.incarnation, known.at));
+        if is_newer {
+            self.echo = Some(stamp);
+        }
+    }
 }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -4,7 +4,7 @@
 use crate::freshness::Freshness;
 use crate::log::{Entry, HardState, Index, Payload, ReplicatedLog, Snapshot, SnapshotMeta, Term};
 use crate::membership::{Membership, ReplicaId};
-use crate::message::{Message, MessageBody};
+use crate::message::{Message, MessageBody, Stamp};
 use crate::progress::Progress;
 use crate::Millis;
 use rand::{Rng, SeedableRng};
@@ -84,6 +84,7 @@
     pub(crate) id: ReplicaId,
     pub(crate) config: ConsensusConfig,
     pub(crate) random: ChaCha8Rng,
+    pub(crate) incarnation: u64,
     pub(crate) now: Millis,
     pub(crate) hard_state: HardState,
     pub(crate) role: Role,
@@ -117,11 +118,13 @@
     /// A replica that continues from what was stored.
     ///
     /// `seed` randomises election timeouts; replicas should use different ones.
+    /// `incarnation` grows with each start of the replica.
     pub fn new(
         id: ReplicaId,
         config: ConsensusConfig,
         stored: StoredState,
         seed: u64,
+        incarnation: u64,
         now: Millis,
     ) -> Self {
         let meta = &stored.snapshot.meta;
@@ -140,6 +143,7 @@
             id,
             config,
             random: ChaCha8Rng::seed_from_u64(seed),
+            incarnation,
             now,
             hard_state: stored.hard_state,
             role: Role::Follower,
@@ -505,6 +509,13 @@
         self.election_deadline = self.now + timeout;
     }
 
+    pub(crate) fn stamp(&self) -> Stamp {
+        Stamp {
+            incarnation: self.incarnation,
+            at: self.now,
+        }
+    }
+
     pub(crate) fn send(&mut self, to: ReplicaId, term: Term, body: MessageBody) {
         let from = self.id;
         self.output.messages.push(Message {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -2,7 +2,7 @@
 
 use crate::log::{Entry, Index, Payload, Snapshot, Term};
 use crate::membership::ReplicaId;
-use crate::message::{LeaderFreshness, MessageBody};
+use crate::message::{LeaderFreshness, MessageBody, Stamp};
 use crate::progress::Progress;
 use crate::replica::{Replica, Role};
 use crate::Millis;
@@ -200,8 +200,9 @@
         // The message was made after the echoed time, and its commit index was
         // current when a quorum last confirmed the leader.
         if let (Some(echo), Some(age)) = (freshness.echo, freshness.confirmed_age) {
-            if self.applied >= commit {
-                self.freshness.advance(echo.saturating_sub(age));
+            let is_own = echo.incarnation == self.incarnation;
+            if is_own && self.applied >= commit {
+                self.freshness.advance(echo.at.saturating_sub(age));
             }
         }
     }
@@ -240,7 +241,7 @@
             accepted,
             match_index,
             round,
-            sent_at: self.now,
+            sent_at: self.stamp(),
         };
         self.send_after_sync(to, body);
     }
@@ -272,7 +273,7 @@
         accepted: bool,
         match_index: Index,
         round: u64,
-        sent_at: Millis,
+        sent_at: Stamp,
     ) {
         if self.role != Role::Leader {
             return;
@@ -283,7 +284,7 @@
             return;
         };
         progress.last_reply_at = Some(now);
-        progress.echo = progress.echo.max(Some(sent_at));
+        progress.note_stamp(sent_at);
         progress.acknowledged_round = progress.acknowledged_round.max(round);
         progress.in_flight = progress.in_flight.saturating_sub(1);
         if accepted {
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -25,7 +25,23 @@
     },
 }
 
-/// Runs calls and reports to the main thread.
+/// Runs back-end calls; the end of each is reported as an event.
+pub trait Calls {
+    /// Starts a stage call. `streams` tells whether its tokens are wanted one
+    /// by one. An error means that nothing was sent.
+    fn start(
+        &self,
+        attempt: u64,
+        call: StageCall,
+        is_generation: bool,
+        streams: bool,
+    ) -> io::Result<()>;
+
+    /// Tells an engine that a stream is not wanted any more.
+    fn cancel_generation(&self, address: String, attempt: String);
+}
+
+/// Runs calls on threads and reports to the main thread.
 #[derive(Clone)]
 pub struct CallRunner {
     agents: Agents,
@@ -49,29 +65,6 @@
         }
     }
 
-    /// Starts a stage call. `streams` tells whether its tokens are wanted one
-    /// by one.
-    pub fn start(
-        &self,
-        attempt: u64,
-        call: StageCall,
-        is_generation: bool,
-        streams: bool,
-    ) -> io::Result<()> {
-        self.submit(Job::Stage {
-            attempt,
-            call,
-            is_generation,
-            streams,
-        })
-    }
-
-    /// Tells an engine that a stream is not wanted any more.
-    pub fn cancel_generation(&self, address: String, attempt: String) {
-        // Without a thread the engine ends the stream by itself.
-        let _ = self.submit(Job::Cancel { address, attempt });
-    }
-
     fn submit(&self, job: Job) -> io::Result<()> {
         let reserved = self
             .idle
@@ -138,6 +131,28 @@
     }
 }
 
+impl Calls for CallRunner {
+    fn start(
+        &self,
+        attempt: u64,
+        call: StageCall,
+        is_generation: bool,
+        streams: bool,
+    ) -> io::Result<()> {
+        self.submit(Job::Stage {
+            attempt,
+            call,
+            is_generation,
+            streams,
+        })
+    }
+
+    fn cancel_generation(&self, address: String, attempt: String) {
+        // Without a thread the engine ends the stream by itself.
+        let _ = self.submit(Job::Cancel { address, attempt });
+    }
+}
+
 /// Sends tokens to the main thread, where they are wanted.
 struct EventSink<'a> {
     attempt: u64,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -659,11 +659,10 @@
             incarnation: self.incarnation,
             state: state.clone(),
             ledgers: ledgers.iter().map(|ledger| (**ledger).clone()).collect(),
-            calls: CallRunner::new(agents.clone(), self.events.clone()),
+            calls: Box::new(CallRunner::new(agents.clone(), self.events.clone())),
             metrics: self.metrics.clone(),
             clock: self.clock,
             seed: rand::random(),
-            events: self.events.clone(),
         };
         actor!(&mut self.stakker, RequestActor::init(setup), ret_nop!())
     }
@@ -676,7 +675,7 @@
     ) -> ActorOwn<SessionActor> {
         let settings = &self.settings;
         let setup = SessionSetup {
-            first_relay: first_relay(settings),
+            first_relay: settings.first_relay(),
             relays: settings.cluster.voters.clone(),
             zone: settings.own_node().zone.clone(),
             caller_address: settings.own_node().callers.clone(),
@@ -750,37 +749,6 @@
     }
 }
 
-/// Spreads the nodes over the voters: a voter is its own relay, others start
-/// with one in their zone if there is one.
-fn first_relay(settings: &Settings) -> usize {
-    let voters = &settings.cluster.voters;
-    if let Some(own) = voters.iter().position(|voter| *voter == settings.node) {
-        return own;
-    }
-    let rank = settings
-        .cluster
-        .nodes
-        .iter()
-        .position(|node| node.name == settings.node)
-        .unwrap_or_default();
-    let zone_of = |name: &NodeName| {
-        let node = settings
-            .cluster
-            .nodes
-            .iter()
-            .find(|node| node.name == *name);
-        node.map(|node| node.zone.as_str())
-    };
-    let own_zone = Some(settings.own_node().zone.as_str());
-    let near: Vec<usize> = (0..voters.len())
-        .filter(|position| zone_of(&voters[*position]) == own_zone)
-        .collect();
-    match near.is_empty() {
-        true => rank % voters.len(),
-        false => near[rank % near.len()],
-    }
-}
-
 /// The label under which a message is counted.
 fn message_kind(message: &PeerMessage) -> &'static str {
     match message {
--- a/crates/daemon/src/replica/actor.rs
+++ b/crates/daemon/src/replica/actor.rs
@@ -510,5 +510,7 @@
 }
 
 fn new_replica<M>(setup: &ReplicaSetup<M>, stored: StoredState, now: Millis) -> Replica {
-    Replica::new(setup.replica, setup.config.clone(), stored, setup.seed, now)
+    let incarnation = setup.outbox.borrow().incarnation();
+    let config = setup.config.clone();
+    Replica::new(setup.replica, config, stored, setup.seed, incarnation, now)
 }
--- a/crates/daemon/src/requests/accept.rs
+++ b/crates/daemon/src/requests/accept.rs
@@ -1,6 +1,6 @@
 //! Phase 1: parsing and checking a caller's request.
 
-use crate::requests::active::{ActiveRequest, CallerRequest, KeyOwnership, Phase};
+use crate::requests::active::{ActiveRequest, CallerRequest, KeyOwnership, Phase, RequestNumber};
 use crate::requests::actor::RequestActor;
 use crate::requests::answer::RefusalBody;
 use serde::Deserialize;
@@ -8,7 +8,7 @@
 use sha2::{Digest, Sha256};
 use silversail_http::Responder;
 use silversail_ledger::RequestKey;
-use silversail_model::{Pipeline, PipelineName, ResultCode, Tenant, TenantName};
+use silversail_model::{Labels, Pipeline, PipelineName, ResultCode, Selector, Tenant, TenantName};
 use stakker::CX;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,69 +32,50 @@
 
 impl RequestActor {
     pub(crate) fn accept(&mut self, cx: CX![], request: CallerRequest) {
-        let request_id = format!(
-            "{}-{:x}-{}",
-            self.setup.node, self.setup.incarnation, request.number
-        );
-        match self.check(&request, &request_id) {
-            Ok(active) => {
-                let mut active = active;
-                active.responder = Some(request.responder);
-                let deadline = active.deadline;
-                let number = active.number;
-                self.requests.insert(number, active);
-                self.deadlines.insert((deadline, number));
-                self.admit(cx, number);
-            }
+        let number = request.number;
+        let node = &self.setup.node;
+        let request_id = format!("{node}-{:x}-{number}", self.setup.incarnation);
+        let (body, key) = match parse(&request) {
+            Ok(parsed) => parsed,
             Err((code, message)) => {
                 let body = RefusalBody::new(&request_id, code, message);
-                self.count_refusal(&request.pipeline, code);
+                self.count_refusal(code);
                 self.respond_refusal(request.responder, code, &body);
+                return;
             }
+        };
+        let found = self.look_up(&request.pipeline, &body.tenant);
+        self.requests
+            .insert(number, new_request(request, request_id, body, key));
+        // From here on a refusal of a keyed request fences its key: other
+        // copies of it may be on other nodes, whatever this node knows.
+        match found.and_then(|(pipeline, tenant)| self.bind(number, pipeline, tenant)) {
+            Ok(()) => self.admit(cx, number),
+            Err((code, message)) => self.give_up(cx, number, code, &message, None),
         }
     }
 
-    fn check(&self, request: &CallerRequest, request_id: &str) -> Result<ActiveRequest, Refusal> {
-        let body: RequestBody = serde_json::from_slice(&request.body)
-            .map_err(|error| (ResultCode::MalformedRequest, error.to_string()))?;
-        let (pipeline, tenant) = self.look_up(&request.pipeline, &body.tenant)?;
-        let deadline_ms = body.deadline_ms.unwrap_or(pipeline.deadline_ms);
+    /// Gives a request its pipeline, tenant and deadline.
+    fn bind(
+        &mut self,
+        number: RequestNumber,
+        pipeline: Pipeline,
+        tenant: Tenant,
+    ) -> Result<(), Refusal> {
         let longest = self.setup.settings.limits.deadline_ms;
+        let Some(request) = self.requests.get_mut(&number) else {
+            return Ok(());
+        };
+        let deadline_ms = request.deadline_ms.unwrap_or(pipeline.deadline_ms);
         if deadline_ms == 0 || deadline_ms > longest {
             let message = format!("deadline_ms must be 1 to {longest}");
             return Err((ResultCode::InvalidDeadline, message));
         }
-        let key = self.key_ownership(request, &tenant, &pipeline)?;
-        let now = request.arrived_at;
-        Ok(ActiveRequest {
-            number: request.number,
-            request_id: request_id.to_owned(),
-            weight: tenant.weight,
-            tenant: tenant.name,
-            pipeline: Rc::new(pipeline),
-            input: body.input,
-            stream: body.stream,
-            arrived_at: now,
-            deadline: now + Duration::from_millis(deadline_ms),
-            responder: None,
-            stream_started: false,
-            streamed: Vec::new(),
-            key,
-            phase: Phase::Queued,
-            stage: 0,
-            estimates: Vec::new(),
-            counted: false,
-            previous: Map::new(),
-            reports: Vec::new(),
-            attempts: 0,
-            avoid: Vec::new(),
-            queued_at: now,
-            called_at: now,
-            call: None,
-            anything_ran: false,
-            effect_sent: false,
-            last_failure: None,
-        })
+        request.deadline = request.arrived_at + Duration::from_millis(deadline_ms);
+        request.weight = tenant.weight;
+        request.pipeline = Rc::new(pipeline);
+        self.deadlines.insert((request.deadline, number));
+        Ok(())
     }
 
     fn look_up(&self, pipeline: &str, tenant: &TenantName) -> Result<(Pipeline, Tenant), Refusal> {
@@ -118,45 +99,6 @@
         Ok((pipeline.clone(), tenant.clone()))
     }
 
-    /// The key, for pipelines that may run at most once. Others need no ledger:
-    /// running twice costs, and harms nobody.
-    fn key_ownership(
-        &self,
-        request: &CallerRequest,
-        tenant: &Tenant,
-        pipeline: &Pipeline,
-    ) -> Result<Option<KeyOwnership>, Refusal> {
-        let Some(key) = &request.key else {
-            return Ok(None);
-        };
-        if key.is_empty() || key.len() > MAX_KEY_BYTES {
-            let message = format!("Idempotency-Key takes 1 to {MAX_KEY_BYTES} bytes");
-            return Err((ResultCode::InvalidIdempotencyKey, message));
-        }
-        let retry_token = match &request.retry_token {
-            None => None,
-            Some(text) => match text.parse() {
-                Ok(token) => Some(token),
-                Err(_) => {
-                    let message = "Silversail-Retry-Token must be as it was given".to_owned();
-                    return Err((ResultCode::InvalidIdempotencyKey, message));
-                }
-            },
-        };
-        if !pipeline.has_unrepeatable_stage() {
-            return Ok(None);
-        }
-        Ok(Some(KeyOwnership {
-            key: RequestKey {
-                tenant: tenant.name.clone(),
-                key: key.clone(),
-            },
-            digest: digest(pipeline, &request.body),
-            retry_token,
-            epoch: None,
-        }))
-    }
-
     /// Sends a refusal.
     pub(crate) fn respond_refusal(
         &self,
@@ -169,37 +111,115 @@
     }
 
     /// Counts an answer of a request that never became active.
-    pub(crate) fn count_refusal(&self, pipeline: &str, code: ResultCode) {
-        // Unknown names are not labels: callers choose them.
-        let known = {
-            let state = self.setup.state.borrow();
-            let name = PipelineName::from(pipeline);
-            state
-                .configuration
-                .configuration()
-                .pipelines
-                .contains_key(&name)
-        };
-        let label = if known { pipeline } else { "" };
+    fn count_refusal(&self, code: ResultCode) {
         let metrics = &self.setup.metrics;
         metrics.refusals.with_label_values(&[code.reason()]).inc();
         metrics
             .requests
-            .with_label_values(&[label, code.outcome().as_str(), &code.number().to_string()])
+            .with_label_values(&["", code.outcome().as_str(), &code.number().to_string()])
             .inc();
     }
 }
 
+fn parse(request: &CallerRequest) -> Result<(RequestBody, Option<KeyOwnership>), Refusal> {
+    let body: RequestBody = serde_json::from_slice(&request.body)
+        .map_err(|error| (ResultCode::MalformedRequest, error.to_string()))?;
+    let key = key_ownership(request, &body.tenant)?;
+    Ok((body, key))
+}
+
+fn new_request(
+    request: CallerRequest,
+    request_id: String,
+    body: RequestBody,
+    key: Option<KeyOwnership>,
+) -> ActiveRequest {
+    let now = request.arrived_at;
+    ActiveRequest {
+        number: request.number,
+        request_id,
+        weight: 1,
+        tenant: body.tenant,
+        pipeline: Rc::new(unknown_pipeline()),
+        input: body.input,
+        stream: body.stream,
+        arrived_at: now,
+        deadline_ms: body.deadline_ms,
+        deadline: now,
+        responder: Some(request.responder),
+        stream_started: false,
+        streamed: Vec::new(),
+        key,
+        phase: Phase::Queued,
+        stage: 0,
+        estimates: Vec::new(),
+        counted: false,
+        previous: Map::new(),
+        reports: Vec::new(),
+        attempts: 0,
+        avoid: Vec::new(),
+        queued_at: now,
+        called_at: now,
+        call: None,
+        anything_ran: false,
+        effect_sent: false,
+        last_failure: None,
+    }
+}
+
+/// Stands for the pipeline until it is found. Its name is a label of metrics,
+/// so it is not the caller's text.
+fn unknown_pipeline() -> Pipeline {
+    Pipeline {
+        name: PipelineName::default(),
+        labels: Labels::new(),
+        deadline_ms: 0,
+        tenants: Selector::default(),
+        stages: Vec::new(),
+    }
+}
+
+/// The key as the caller sent it, checked.
+fn key_ownership(
+    request: &CallerRequest,
+    tenant: &TenantName,
+) -> Result<Option<KeyOwnership>, Refusal> {
+    let Some(key) = &request.key else {
+        return Ok(None);
+    };
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        let message = format!("Idempotency-Key takes 1 to {MAX_KEY_BYTES} bytes");
+        return Err((ResultCode::InvalidIdempotencyKey, message));
+    }
+    let retry_token = match request.retry_token.as_ref().map(|text| text.parse()) {
+        None => None,
+        Some(Ok(token)) => Some(token),
+        Some(Err(_)) => {
+            let message = "Silversail-Retry-Token must be as it was given".to_owned();
+            return Err((ResultCode::InvalidIdempotencyKey, message));
+        }
+    };
+    Ok(Some(KeyOwnership {
+        key: RequestKey {
+            tenant: tenant.clone(),
+            key: key.clone(),
+        },
+        digest: digest(&request.pipeline, &request.body),
+        retry_token,
+        epoch: None,
+    }))
+}
+
 /// Digest of what was asked: the pipeline and the body without its deadline,
 /// which a resend may shorten.
-fn digest(pipeline: &Pipeline, body: &[u8]) -> [u8; 32] {
+fn digest(pipeline: &str, body: &[u8]) -> [u8; 32] {
     let mut value: Value = serde_json::from_slice(body).unwrap_or_default();
     if let Value::Object(fields) = &mut value {
         fields.remove("deadline_ms");
         fields.remove("stream");
     }
     let mut hasher = Sha256::new();
-    hasher.update(pipeline.name.as_str());
+    hasher.update(pipeline);
     hasher.update([0]);
     hasher.update(value.to_string());
     hasher.finalize().into()
--- a/crates/daemon/src/requests/active.rs
+++ b/crates/daemon/src/requests/active.rs
@@ -118,6 +118,8 @@
     pub stream: bool,
     /// When it arrived.
     pub arrived_at: Instant,
+    /// The deadline that the caller asked for, in milliseconds.
+    pub deadline_ms: Option<u64>,
     /// When the whole answer is due.
     pub deadline: Instant,
     /// Where the answer goes.
@@ -126,7 +128,7 @@
     pub stream_started: bool,
     /// Tokens sent to the caller.
     pub streamed: Vec<String>,
-    /// Its key, for pipelines that may run at most once.
+    /// Its key, where the caller gave one.
     pub key: Option<KeyOwnership>,
     /// What it waits for.
     pub phase: Phase,
--- a/crates/daemon/src/requests/actor.rs
+++ b/crates/daemon/src/requests/actor.rs
@@ -1,8 +1,7 @@
 //! The actor of the data path: its state and its entry points.
 
-use crate::calls::CallRunner;
+use crate::calls::Calls;
 use crate::clock::Clock;
-use crate::event::EventSender;
 use crate::metrics::Metrics;
 use crate::replica::ProposerActor;
 use crate::requests::active::{ActiveRequest, CallerRequest, RequestNumber};
@@ -34,15 +33,13 @@
     /// Proposers to the ledger groups, by part.
     pub ledgers: Vec<Actor<ProposerActor>>,
     /// Runs back-end calls.
-    pub calls: CallRunner,
+    pub calls: Box<dyn Calls>,
     /// Counters.
     pub metrics: Arc<Metrics>,
     /// Time.
     pub clock: Clock,
     /// Seed of placement.
     pub seed: u64,
-    /// Events of this process.
-    pub events: EventSender,
 }
 
 /// A call that is out, until its thread reports.
--- a/crates/daemon/src/requests/mod.rs
+++ b/crates/daemon/src/requests/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! 1. `accept`: parse and check the request.
 //! 2. `admit`: freshness, limits and admission.
-//! 3. `own`: take the key in the ledger, for pipelines that may run at most once.
+//! 3. `own`: take the key in the ledger, where the caller gave one.
 //! 4. `dispatch`: each stage waits, is placed, claimed where it may not be
 //!    repeated, and called.
 //! 5. `outcome`: results, retries.
--- a/crates/daemon/src/requests/own.rs
+++ b/crates/daemon/src/requests/own.rs
@@ -158,6 +158,10 @@
             .view
             .is_live(&owner.node, owner.incarnation);
         if !is_live && !claimed {
+            if let Some(request) = self.requests.get_mut(&number) {
+                // Stages that may be repeated may have run there.
+                request.anything_ran = true;
+            }
             self.begin(cx, number, Some(epoch));
             return;
         }
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -176,6 +176,7 @@
         };
         let newer_view = self.view.version > heartbeat.view;
         SessionReply {
+            incarnation: heartbeat.report.incarnation,
             echo: heartbeat.sent_at,
             age,
             revision: machine.revision(),
--- a/crates/daemon/src/session/session_actor.rs
+++ b/crates/daemon/src/session/session_actor.rs
@@ -48,17 +48,20 @@
     setup: SessionSetup,
     relay: usize,
     unanswered: u32,
+    started_at: Millis,
 }
 
 impl SessionActor {
     /// Starts with a heartbeat.
     pub fn init(cx: CX![], setup: SessionSetup) -> Option<Self> {
         let relay = setup.first_relay;
+        let started_at = setup.clock.millis(cx.now());
         after!(Duration::ZERO, [cx], tick());
         Some(Self {
             setup,
             relay,
             unanswered: 0,
+            started_at,
         })
     }
 
@@ -105,10 +108,9 @@
     }
 
     /// A relay's answer.
-    pub fn reply(&mut self, cx: CX![], reply: SessionReply) {
-        let now = self.setup.clock.millis(cx.now());
-        if reply.echo > now {
-            // Of a former process of this node, whose clock ran further.
+    pub fn reply(&mut self, _: CX![], reply: SessionReply) {
+        if reply.incarnation != self.setup.outbox.borrow().incarnation() {
+            // To a former process of this node, whose clock says nothing here.
             return;
         }
         let Some(age) = reply.age else {
@@ -117,16 +119,22 @@
             return;
         };
         self.unanswered = 0;
+        // The relay's state includes all that was committed before this time.
+        let as_of = reply.echo.saturating_sub(age);
+        let has_started = self.setup.state.borrow().configuration.revision().is_some();
+        if !has_started && as_of < self.started_at {
+            // A relay that lags a little may hold an older revision than the
+            // one that was in force here before the restart.
+            return;
+        }
         let mut changed = false;
         if let Some(update) = reply.update {
             changed |= self.apply(update);
         }
         {
             let mut state = self.setup.state.borrow_mut();
-            // The relay's state was current at some time after the heartbeat
-            // was sent, less its age; it counts once this node has it all.
             if state.configuration.revision() >= Some(reply.revision) {
-                state.freshness.advance(reply.echo.saturating_sub(age));
+                state.freshness.advance(as_of);
             }
             if let Some(view) = reply.view.filter(|view| view.version > state.view.version) {
                 for machine in &view.machines {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -400,6 +400,31 @@
             .unwrap_or(&self.own_node().callers)
     }
 
+    /// Position among the voters of the relay to try first. This spreads the
+    /// nodes over the voters: a voter is its own relay, others start with one
+    /// in their zone if there is one.
+    pub fn first_relay(&self) -> usize {
+        let voters = &self.cluster.voters;
+        if let Some(own) = voters.iter().position(|voter| *voter == self.node) {
+            return own;
+        }
+        let nodes = &self.cluster.nodes;
+        let rank = nodes.iter().position(|node| node.name == self.node);
+        let rank = rank.unwrap_or_default();
+        let zone_of = |name: &NodeName| {
+            let node = nodes.iter().find(|node| node.name == *name);
+            node.map(|node| node.zone.as_str())
+        };
+        let own_zone = Some(self.own_node().zone.as_str());
+        let near: Vec<usize> = (0..voters.len())
+            .filter(|position| zone_of(&voters[*position]) == own_zone)
+            .collect();
+        match near.is_empty() {
+            true => rank % voters.len(),
+            false => near[rank % near.len()],
+        }
+    }
+
     /// Timing of the replication groups.
     pub fn consensus_config(&self) -> ConsensusConfig {
         let election_timeout = self.timing.election_timeout_ms;
--- a/crates/daemon/src/surface/callers.rs
+++ b/crates/daemon/src/surface/callers.rs
@@ -107,7 +107,7 @@
         Box::new(|| {})
     }
 
-    fn reject(&self, reason: RejectReason) -> (ResponseHead, Vec<u8>) {
+    fn reject(&self, reason: RejectReason, head: &Request) -> (ResponseHead, Vec<u8>) {
         let (code, message, retry_after_ms) = match reason {
             RejectReason::BodyTooLarge => (ResultCode::BodyTooLarge, "the body is too large", None),
             RejectReason::BodyTimeout => {
@@ -120,6 +120,13 @@
                 Some(CONNECTIONS_RETRY_AFTER_MS),
             ),
         };
+        // Another copy of a keyed request may be on its way through another
+        // node, and this one was not read, so nothing is known of its effect.
+        let is_unread = reason != RejectReason::BodyTooLarge;
+        let code = match head.header(IDEMPOTENCY_KEY) {
+            Some(_) if is_unread => ResultCode::FenceUnavailable,
+            _ => code,
+        };
         self.refusal(code, message.to_owned(), retry_after_ms)
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,5 +14,5 @@
 
 pub use config::HttpServerConfig;
 pub use request::Request;
-pub use responder::{Responder, ResponseHead};
+pub use responder::{Responder, ResponseHead, ResponsePart, ResponseReader};
 pub use server::{Handler, HttpServer, RejectReason};
--- a/crates/http/src/responder.rs
+++ b/crates/http/src/responder.rs
@@ -1,6 +1,6 @@
 //! The sending side of a response.
 
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 
 /// Status and headers of a response.
 #[derive(Clone, Debug)]
@@ -24,12 +24,29 @@
     }
 }
 
-pub(crate) enum ResponsePart {
+/// A part of a response.
+#[derive(Clone, Debug)]
+pub enum ResponsePart {
+    /// Status and headers.
     Head(ResponseHead),
+    /// Bytes of the body.
     Chunk(Vec<u8>),
+    /// The end of the body.
     End,
 }
 
+/// The receiving side of a response that no connection carries.
+pub struct ResponseReader {
+    parts: UnboundedReceiver<ResponsePart>,
+}
+
+impl ResponseReader {
+    /// The next part that was sent, if any.
+    pub fn try_next(&mut self) -> Option<ResponsePart> {
+        self.parts.try_recv().ok()
+    }
+}
+
 /// Sends the parts of one response. Dropped before [`Responder::finish`], it
 /// cuts the connection, so that the caller never takes the cut for an end.
 #[derive(Debug)]
@@ -38,6 +55,12 @@
 }
 
 impl Responder {
+    /// A responder without a connection, and where its parts arrive.
+    pub fn detached() -> (Self, ResponseReader) {
+        let (sender, parts) = unbounded_channel();
+        (Self { parts: sender }, ResponseReader { parts })
+    }
+
     /// Sends status and headers; to be called once, first.
     pub fn head(&self, head: ResponseHead) {
         let _ = self.parts.send(ResponsePart::Head(head));
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -37,8 +37,9 @@
     /// before the response has ended.
     fn handle(&self, request: Request, responder: Responder) -> Box<dyn FnOnce() + Send>;
 
-    /// The answer to a request that the server rejects.
-    fn reject(&self, reason: RejectReason) -> (ResponseHead, Vec<u8>);
+    /// The answer to a request that the server rejects; `head` has its headers
+    /// and no body.
+    fn reject(&self, reason: RejectReason, head: &Request) -> (ResponseHead, Vec<u8>);
 }
 
 type ServerBody = Either<Full<Bytes>, PartsBody>;
@@ -124,8 +125,10 @@
 }
 
 async fn refuse(stream: TcpStream, handler: Arc<dyn Handler>, config: Arc<HttpServerConfig>) {
-    let service = service_fn(move |_request: hyper::Request<Incoming>| {
-        let (head, body) = handler.reject(RejectReason::TooManyConnections);
+    let service = service_fn(move |request: hyper::Request<Incoming>| {
+        let (parts, _) = request.into_parts();
+        let refused = request_of(parts, Vec::new());
+        let (head, body) = handler.reject(RejectReason::TooManyConnections, &refused);
         async move { Ok::<_, Infallible>(whole(head, body)) }
     });
     let connection = http1::Builder::new()
@@ -173,8 +176,8 @@
 ) -> Response<ServerBody> {
     let request = match read_request(request, &config).await {
         Ok(request) => request,
-        Err(reason) => {
-            let (head, body) = handler.reject(reason);
+        Err((reason, request)) => {
+            let (head, body) = handler.reject(reason, &request);
             return whole(head, body);
         }
     };
@@ -200,26 +203,31 @@
     }
 }
 
+/// Reads the body; a rejected request comes back without it.
 async fn read_request(
     request: hyper::Request<Incoming>,
     config: &HttpServerConfig,
-) -> Result<Request, RejectReason> {
+) -> Result<Request, (RejectReason, Request)> {
     let (head, body) = request.into_parts();
     let limited = Limited::new(body, config.max_body_bytes);
     let collected = timeout(config.body_timeout, limited.collect()).await;
-    let body = match collected {
-        Err(_) => return Err(RejectReason::BodyTimeout),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(RejectReason::BodyTooLarge),
-        Ok(Err(_)) => return Err(RejectReason::BodyBroken),
-        Ok(Ok(body)) => body.to_bytes().to_vec(),
+    let reason = match collected {
+        Ok(Ok(body)) => return Ok(request_of(head, body.to_bytes().to_vec())),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => RejectReason::BodyTooLarge,
+        Ok(Err(_)) => RejectReason::BodyBroken,
+        Err(_) => RejectReason::BodyTimeout,
     };
-    Ok(Request {
+    Err((reason, request_of(head, Vec::new())))
+}
+
+fn request_of(head: hyper::http::request::Parts, body: Vec<u8>) -> Request {
+    Request {
         method: head.method.to_string(),
         path: head.uri.path().to_owned(),
         query: head.uri.query().unwrap_or_default().to_owned(),
         body,
         headers: head.headers,
-    })
+    }
 }
 
 fn whole(head: ResponseHead, body: Vec<u8>) -> Response<ServerBody> {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -132,6 +132,8 @@
 /// A relay's answer to a heartbeat.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SessionReply {
+    /// The process that sent the heartbeat.
+    pub incarnation: u64,
     /// `sent_at` of the heartbeat.
     pub echo: Millis,
     /// How old the relay's configuration may be, in milliseconds; none when no
--- /dev/null
+++ b/crates/simulation/src/lib.rs
@@ -0,0 +1,13 @@
+//! The daemon's own actors under virtual time, with an in-memory transport,
+//! simulated disks and seeded faults. One seed gives one run, always the same.
+
+pub mod calls;
+pub mod disk;
+pub mod network;
+pub mod node;
+pub mod scenario;
+pub mod traffic;
+pub mod world;
+
+pub use scenario::{run_seed, SeedReport};
+pub use world::World;
--- /dev/null
+++ b/crates/simulation/src/network.rs
@@ -0,0 +1,162 @@
+//! The network in memory: messages are delayed, lost, held back and released
+//! late, by seed.
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use silversail_consensus::Millis;
+use silversail_model::NodeName;
+use silversail_peer::transport::{encode, Transport};
+use silversail_peer::{Envelope, SendResult};
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::rc::Rc;
+
+/// A message under way: when it arrives, its order of sending, its receiver.
+type Arrival = (Millis, u64, NodeName);
+
+/// Faults of the network, in force until changed.
+#[derive(Clone, Debug)]
+pub struct NetworkFaults {
+    /// Share of messages that are lost.
+    pub loss: f64,
+    /// Longest delay of a message.
+    pub max_delay: Millis,
+    /// Share of messages that are held back for seconds.
+    pub held: f64,
+    /// Nodes that nothing reaches and that reach nothing.
+    pub cut_off: BTreeSet<NodeName>,
+    /// Pairs of sender and receiver between which nothing passes.
+    pub cut_links: BTreeSet<(NodeName, NodeName)>,
+}
+
+impl Default for NetworkFaults {
+    fn default() -> Self {
+        Self {
+            loss: 0.0,
+            max_delay: 2,
+            held: 0.0,
+            cut_off: BTreeSet::new(),
+            cut_links: BTreeSet::new(),
+        }
+    }
+}
+
+/// Longest time for which a message is held back.
+const LONGEST_HOLD: Millis = 6_000;
+
+/// Traffic of one node.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Traffic {
+    /// Messages sent.
+    pub sent: u64,
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Messages received.
+    pub received: u64,
+    /// Bytes received.
+    pub received_bytes: u64,
+}
+
+/// The network of one world.
+pub struct Network {
+    /// Faults in force.
+    pub faults: NetworkFaults,
+    /// Traffic by node.
+    pub traffic: BTreeMap<NodeName, Traffic>,
+    now: Millis,
+    sent: u64,
+    arrivals: BinaryHeap<Reverse<Arrival>>,
+    envelopes: BTreeMap<u64, (Envelope, usize)>,
+    random: ChaCha8Rng,
+}
+
+/// The network shared by a world's nodes.
+pub type SharedNetwork = Rc<RefCell<Network>>;
+
+impl Network {
+    /// A network without faults.
+    pub fn new(random: ChaCha8Rng) -> Self {
+        Self {
+            faults: NetworkFaults::default(),
+            traffic: BTreeMap::new(),
+            now: 0,
+            sent: 0,
+            arrivals: BinaryHeap::new(),
+            envelopes: BTreeMap::new(),
+            random,
+        }
+    }
+
+    /// Moves time on.
+    pub fn set_now(&mut self, now: Millis) {
+        self.now = now;
+    }
+
+    /// When the next message arrives.
+    pub fn next_arrival(&self) -> Option<Millis> {
+        self.arrivals.peek().map(|Reverse((at, _, _))| *at)
+    }
+
+    /// The next message that has arrived by now, with its receiver.
+    pub fn receive(&mut self) -> Option<(NodeName, Envelope)> {
+        while self.next_arrival()? <= self.now {
+            let Reverse((_, number, to)) = self.arrivals.pop()?;
+            let (envelope, bytes) = self.envelopes.remove(&number)?;
+            if envelope.from != to && self.is_cut(&envelope.from, &to) {
+                continue;
+            }
+            if envelope.from != to {
+                let traffic = self.traffic.entry(to.clone()).or_default();
+                traffic.received += 1;
+                traffic.received_bytes += bytes as u64;
+            }
+            return Some((to, envelope));
+        }
+        None
+    }
+
+    fn is_cut(&self, from: &NodeName, to: &NodeName) -> bool {
+        let faults = &self.faults;
+        faults.cut_off.contains(from)
+            || faults.cut_off.contains(to)
+            || faults.cut_links.contains(&(from.clone(), to.clone()))
+    }
+
+    /// Takes a message on its way.
+    pub fn send(&mut self, to: NodeName, envelope: Envelope) {
+        if envelope.from == to {
+            self.enqueue(self.now, to, envelope, 0);
+            return;
+        }
+        let bytes = encode(&envelope).len();
+        let traffic = self.traffic.entry(envelope.from.clone()).or_default();
+        traffic.sent += 1;
+        traffic.sent_bytes += bytes as u64;
+        if self.is_cut(&envelope.from, &to) || self.random.gen_bool(self.faults.loss) {
+            return;
+        }
+        let delay = if self.random.gen_bool(self.faults.held) {
+            self.random.gen_range(0..LONGEST_HOLD)
+        } else {
+            self.random.gen_range(0..=self.faults.max_delay)
+        };
+        self.enqueue(self.now + delay, to, envelope, bytes);
+    }
+
+    fn enqueue(&mut self, at: Millis, to: NodeName, envelope: Envelope, bytes: usize) {
+        self.sent += 1;
+        self.arrivals.push(Reverse((at, self.sent, to)));
+        self.envelopes.insert(self.sent, (envelope, bytes));
+    }
+}
+
+/// A node's way into the network.
+pub struct SimulatedTransport(pub SharedNetwork);
+
+impl Transport for SimulatedTransport {
+    fn send(&mut self, to: &NodeName, envelope: &Envelope) -> SendResult {
+        self.0.borrow_mut().send(to.clone(), envelope.clone());
+        SendResult::Queued
+    }
+}
--- a/crates/testbed/src/emulate/platform.rs
+++ b/crates/testbed/src/emulate/platform.rs
@@ -103,7 +103,7 @@
         Box::new(|| {})
     }
 
-    fn reject(&self, _reason: RejectReason) -> (ResponseHead, Vec<u8>) {
+    fn reject(&self, _reason: RejectReason, _head: &Request) -> (ResponseHead, Vec<u8>) {
         (ResponseHead::new(503, JSON), Vec::new())
     }
 }
--- a/crates/testbed/src/emulate/service.rs
+++ b/crates/testbed/src/emulate/service.rs
@@ -70,7 +70,7 @@
         Box::new(|| {})
     }
 
-    fn reject(&self, _reason: RejectReason) -> (ResponseHead, Vec<u8>) {
+    fn reject(&self, _reason: RejectReason, _head: &Request) -> (ResponseHead, Vec<u8>) {
         (ResponseHead::new(503, JSON), b"{\"not_run\":true}".to_vec())
     }
 }
