--- a/crates/daemon/src/replica/status.rs
+++ b/crates/daemon/src/replica/status.rs
@@ -31,6 +31,9 @@
     pub replica: String,
     /// Role.
     pub role: String,
+    /// Whether this replica itself votes; a former one of its node may stand
+    /// among the voters until it is replaced.
+    pub votes: bool,
     /// Nodes that vote.
     pub voters: Vec<String>,
     /// Nodes that learn.
@@ -58,6 +61,7 @@
         self.report = Some(ReplicaReport {
             replica: format!("{:016x}", replica.id().0),
             role: format!("{:?}", replica.role()).to_lowercase(),
+            votes: membership.is_voter(replica.id()),
             voters: membership.voters.values().cloned().collect(),
             learners: membership.learners.values().cloned().collect(),
             log_length: replica.log_length(),
--- a/crates/daemon/src/requests/outcome.rs
+++ b/crates/daemon/src/requests/outcome.rs
@@ -29,7 +29,7 @@
         let now = self.now_millis(cx);
         let load = self.pools.load(&outstanding.backend);
         match &result {
-            Ok(_) => load.succeeded(service.as_secs_f64() * 1_000.0),
+            Ok(_) => load.succeeded(service.as_secs_f64() * 1_000.0, now),
             Err(CallFailure::Cancelled | CallFailure::Deadline) => {}
             Err(_) => load.failed(now),
         }
--- a/crates/daemon/src/requests/pools.rs
+++ b/crates/daemon/src/requests/pools.rs
@@ -91,9 +91,7 @@
 
     /// Load of a back end.
     pub fn load(&mut self, backend: &BackendName) -> &mut BackendLoad {
-        self.loads
-            .entry(backend.clone())
-            .or_insert_with(|| BackendLoad::new(50.0))
+        self.loads.entry(backend.clone()).or_default()
     }
 
     /// Load of a back end, if anything is known of it.
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -13,8 +13,13 @@
 const EJECT_FOR: Millis = 2_000;
 /// A load report older than this says nothing, in milliseconds.
 const REPORT_VALID_FOR: Millis = 3_000;
+/// A measured service time older than this is doubted: the back end may have
+/// become as fast as the others, which nobody sees while it gets no calls.
+const SERVICE_TIME_VALID_FOR: Millis = 3_000;
 /// How many back ends are compared for stages without a load report.
 const SAMPLES: usize = 3;
+/// Service time assumed while none was measured, in milliseconds.
+const UNMEASURED_SERVICE_MS: f64 = 50.0;
 /// Share of a prompt's service time that a held prefix saves.
 const PREFIX_SAVING: f64 = 0.5;
 
@@ -41,18 +46,26 @@
     reported: Option<(u32, Millis)>,
     /// Own calls in flight when the report was taken in.
     own_at_report: u32,
+    measured_at: Option<Millis>,
     failures: u32,
     ejected_until: Millis,
 }
 
+impl Default for BackendLoad {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl BackendLoad {
-    /// A back end of which nothing is known but the assumed service time.
-    pub fn new(assumed_ms: f64) -> Self {
+    /// A back end of which nothing is known.
+    pub fn new() -> Self {
         Self {
             in_flight: 0,
-            service_ms: MovingAverage::new(assumed_ms),
+            service_ms: MovingAverage::new(UNMEASURED_SERVICE_MS),
             reported: None,
             own_at_report: 0,
+            measured_at: None,
             failures: 0,
             ejected_until: 0,
         }
@@ -65,8 +78,9 @@
     }
 
     /// Notes that a call ended well.
-    pub fn succeeded(&mut self, service_ms: f64) {
+    pub fn succeeded(&mut self, service_ms: f64, now: Millis) {
         self.service_ms.add(service_ms);
+        self.measured_at = Some(now);
         self.failures = 0;
     }
 
@@ -83,6 +97,13 @@
         now < self.ejected_until
     }
 
+    /// The measured service time, where it is recent.
+    fn recent_service_ms(&self, now: Millis) -> Option<f64> {
+        let at = self.measured_at?;
+        let is_recent = now.saturating_sub(at) < SERVICE_TIME_VALID_FOR;
+        is_recent.then(|| self.service_ms.value())
+    }
+
     /// Calls believed to be at the back end: the last report with the own calls
     /// since then put right, and never less than the own ones.
     pub fn believed_load(&self, now: Millis) -> u32 {
@@ -156,11 +177,12 @@
         } else {
             rand::seq::index::sample(&mut self.random, candidates.len(), SAMPLES).into_vec()
         };
+        let fastest = fastest_service_ms(candidates, now);
         let random = &mut self.random;
         compared
             .into_iter()
             .map(|position| {
-                let cost = expected_finish_ms(&candidates[position], now);
+                let cost = expected_finish_ms(&candidates[position], fastest, now);
                 // Equal costs are told apart by chance, else all nodes herd.
                 (position, cost * random.gen_range(1.0..1.05))
             })
@@ -169,9 +191,21 @@
     }
 }
 
+/// The shortest recently measured service time, in milliseconds; what a back
+/// end is taken for until it was measured itself, so that new and recovered
+/// ones get calls.
+fn fastest_service_ms(candidates: &[Candidate<'_>], now: Millis) -> f64 {
+    candidates
+        .iter()
+        .filter_map(|candidate| candidate.load.recent_service_ms(now))
+        .min_by(f64::total_cmp)
+        .unwrap_or(UNMEASURED_SERVICE_MS)
+}
+
 /// Expected time until a call started now would finish, in milliseconds.
-pub fn expected_finish_ms(candidate: &Candidate<'_>, now: Millis) -> f64 {
-    let service = candidate.load.service_ms.value();
+/// `fastest_ms` stands for a service time that was not measured lately.
+pub fn expected_finish_ms(candidate: &Candidate<'_>, fastest_ms: f64, now: Millis) -> f64 {
+    let service = candidate.load.recent_service_ms(now).unwrap_or(fastest_ms);
     let load = f64::from(candidate.load.believed_load(now));
     let slots = f64::from(candidate.slots.max(1));
     let waiting = (load + 1.0 - slots).max(0.0) / slots * service;
