--- /dev/null
+++ b/crates/consensus/tests/replica.rs
@@ -0,0 +1,261 @@
+//! Traps of the consensus state machine, one by one. Whole clusters under
+//! faults are simulated in `silversail-simulation`.
+
+use silversail_consensus::{
+    next_membership, ConsensusConfig, HardState, JoinRequest, Membership, Message, MessageBody,
+    Replica, ReplicaId, Role, Snapshot, SnapshotMeta, StoredState,
+};
+
+const CLUSTER: u64 = 9;
+
+fn membership(voters: &[u64]) -> Membership {
+    Membership {
+        voters: voters
+            .iter()
+            .map(|id| (ReplicaId(*id), format!("n{id}")))
+            .collect(),
+        learners: Default::default(),
+    }
+}
+
+fn stored(voters: &[u64]) -> StoredState {
+    StoredState {
+        hard_state: HardState {
+            term: 1,
+            voted_for: None,
+        },
+        snapshot: Snapshot {
+            meta: SnapshotMeta {
+                cluster_id: CLUSTER,
+                index: 1,
+                term: 1,
+                membership: membership(voters),
+            },
+            data: Vec::new(),
+        },
+        entries: Vec::new(),
+    }
+}
+
+fn replica(id: u64, voters: &[u64]) -> Replica {
+    Replica::new(
+        ReplicaId(id),
+        ConsensusConfig::default(),
+        stored(voters),
+        id,
+        1,
+        0,
+    )
+}
+
+fn message(from: u64, to: u64, term: u64, body: MessageBody) -> Message {
+    Message {
+        from: ReplicaId(from),
+        to: ReplicaId(to),
+        term,
+        body,
+    }
+}
+
+fn vote(last_index: u64, last_term: u64) -> MessageBody {
+    MessageBody::Vote {
+        last_index,
+        last_term,
+        forced: false,
+    }
+}
+
+/// Makes replica 1 of three a leader at `now` by the votes of replica 2.
+fn leader(now: u64) -> Replica {
+    let mut one = replica(1, &[1, 2, 3]);
+    one.tick(now);
+    one.take_output();
+    one.step(
+        message(2, 1, 2, MessageBody::PreVoteReply { granted: true }),
+        now,
+    );
+    one.take_output();
+    one.on_synced(now);
+    one.step(
+        message(2, 1, 2, MessageBody::VoteReply { granted: true }),
+        now,
+    );
+    assert_eq!(one.role(), Role::Leader);
+    one
+}
+
+#[test]
+fn a_vote_leaves_only_after_it_is_synced() {
+    let mut replica = replica(2, &[1, 2, 3]);
+    replica.step(message(1, 2, 2, vote(1, 1)), 0);
+    let output = replica.take_output();
+    assert!(output.messages.is_empty());
+    assert_eq!(
+        output.writes.hard_state,
+        Some(HardState {
+            term: 2,
+            voted_for: Some(ReplicaId(1))
+        })
+    );
+    assert_eq!(
+        output.messages_after_sync[0].body,
+        MessageBody::VoteReply { granted: true }
+    );
+}
+
+#[test]
+fn one_vote_a_term() {
+    let mut replica = replica(2, &[1, 2, 3]);
+    replica.step(message(1, 2, 2, vote(1, 1)), 0);
+    replica.take_output();
+    replica.step(message(3, 2, 2, vote(1, 1)), 0);
+    let output = replica.take_output();
+    assert_eq!(
+        output.messages_after_sync[0].body,
+        MessageBody::VoteReply { granted: false }
+    );
+}
+
+#[test]
+fn a_replica_that_holds_nothing_never_votes() {
+    let empty = StoredState {
+        snapshot: Snapshot {
+            meta: SnapshotMeta {
+                cluster_id: CLUSTER,
+                ..SnapshotMeta::default()
+            },
+            data: Vec::new(),
+        },
+        ..StoredState::default()
+    };
+    let mut replica = Replica::new(ReplicaId(4), ConsensusConfig::default(), empty, 4, 1, 0);
+    replica.step(message(1, 4, 2, vote(1, 1)), 0);
+    let output = replica.take_output();
+    assert_eq!(
+        output.messages_after_sync[0].body,
+        MessageBody::VoteReply { granted: false }
+    );
+    replica.tick(60_000);
+    assert_eq!(replica.role(), Role::Follower);
+}
+
+#[test]
+fn a_former_identity_gets_no_answer() {
+    let mut replica = replica(4, &[1, 2, 3]);
+    replica.step(message(1, 3, 2, vote(1, 1)), 0);
+    assert!(!replica.has_output());
+}
+
+#[test]
+fn a_leader_counts_itself_only_once_its_own_write_is_synced() {
+    let mut one = leader(2_000);
+    let noop = one.last_index();
+    one.take_output();
+    let reply = |index| MessageBody::AppendReply {
+        accepted: true,
+        match_index: index,
+        round: 1,
+        sent_at: silversail_consensus::Stamp {
+            incarnation: 1,
+            at: 0,
+        },
+    };
+    one.step(message(2, 1, 2, reply(noop)), 2_000);
+    assert_eq!(
+        one.commit_index(),
+        1,
+        "one synced copy of three is no quorum"
+    );
+    one.on_synced(2_001);
+    assert_eq!(one.commit_index(), noop);
+}
+
+#[test]
+fn a_leader_without_a_quorum_answers_no_reads_and_steps_down() {
+    let config = ConsensusConfig::default();
+    let mut one = leader(2_000);
+    one.take_output();
+    one.on_synced(2_000);
+    let reply = MessageBody::AppendReply {
+        accepted: true,
+        match_index: one.last_index(),
+        round: 1,
+        sent_at: silversail_consensus::Stamp {
+            incarnation: 1,
+            at: 0,
+        },
+    };
+    one.step(message(2, 1, 2, reply), 2_010);
+    assert!(one.may_serve_reads(2_010));
+    assert!(!one.may_serve_reads(2_000 + config.lease_duration));
+    one.tick(2_000 + config.election_timeout);
+    assert_eq!(one.role(), Role::Follower);
+}
+
+#[test]
+fn a_vote_is_refused_while_a_leader_is_alive_unless_it_asked_for_it() {
+    let mut two = replica(2, &[1, 2, 3]);
+    let heartbeat = MessageBody::Append {
+        previous_index: 1,
+        previous_term: 1,
+        entries: Vec::new(),
+        commit: 1,
+        freshness: Default::default(),
+    };
+    two.step(message(1, 2, 2, heartbeat), 10);
+    two.take_output();
+    two.step(message(3, 2, 3, vote(1, 1)), 20);
+    assert_eq!(two.term(), 2);
+    let forced = MessageBody::Vote {
+        last_index: 1,
+        last_term: 1,
+        forced: true,
+    };
+    two.step(message(3, 2, 3, forced), 30);
+    assert_eq!(two.term(), 3);
+}
+
+#[test]
+fn the_echo_of_a_former_process_proves_nothing() {
+    let mut two = replica(2, &[1, 2, 3]);
+    let append = |incarnation| MessageBody::Append {
+        previous_index: 1,
+        previous_term: 1,
+        entries: Vec::new(),
+        commit: 1,
+        freshness: silversail_consensus::message::LeaderFreshness {
+            round: 5,
+            confirmed_age: Some(20),
+            echo: Some(silversail_consensus::Stamp {
+                incarnation,
+                at: 900,
+            }),
+        },
+    };
+    two.step(message(1, 2, 2, append(0)), 1_000);
+    assert_eq!(two.freshness().as_of, None);
+    two.step(message(1, 2, 2, append(1)), 1_000);
+    assert_eq!(two.freshness().as_of, Some(880));
+}
+
+#[test]
+fn a_new_replica_of_a_node_comes_in_one_step_at_a_time() {
+    let mut current = membership(&[1, 2, 3]);
+    let join = JoinRequest {
+        replica: ReplicaId(9),
+        node: "n3".into(),
+    };
+    let mut sizes = Vec::new();
+    // A learner that lags does not replace a voter.
+    let learner = next_membership(&current, &join, None).expect("a learner");
+    assert_eq!(next_membership(&learner, &join, None), None);
+    assert_eq!(next_membership(&learner, &join, Some(1_000)), None);
+    while let Some(next) = next_membership(&current, &join, Some(0)) {
+        let voters = |membership: &Membership| membership.voters.len() as i64;
+        assert!((voters(&next) - voters(&current)).abs() <= 1);
+        sizes.push((next.voters.len(), next.learners.len()));
+        current = next;
+    }
+    assert_eq!(sizes, [(3, 1), (2, 1), (3, 0)]);
+    assert!(current.is_voter(ReplicaId(9)) && !current.is_voter(ReplicaId(3)));
+}
--- /dev/null
+++ b/crates/control/tests/membership.rs
@@ -0,0 +1,131 @@
+//! Views, machine marks and updates never go back.
+
+use silversail_control::view::merge_machine;
+use silversail_control::{
+    AppliedConfiguration, ChangeOutcome, ChangeRequest, ClusterView, ConfigurationState,
+    ConfigurationUpdate, MachineState, MembershipTable, NodeReport,
+};
+use silversail_model::{ConfigurationDocument, Tenant, TenantLimits};
+
+fn machine(leaving: bool, list_version: u64) -> MachineState {
+    MachineState {
+        address: "127.0.0.1:1".into(),
+        leaving,
+        list_version,
+    }
+}
+
+fn report(incarnation: u64, stopping: bool) -> NodeReport {
+    NodeReport {
+        node: "n1".into(),
+        incarnation,
+        zone: "a".into(),
+        caller_address: "127.0.0.1:2".into(),
+        stopping,
+        serving: true,
+        revision: Some(1),
+        machines: Vec::new(),
+    }
+}
+
+fn change(number: u64, base_revision: u64) -> ChangeRequest {
+    ChangeRequest {
+        change_id: format!("c{number}").as_str().into(),
+        base_revision,
+        operator: String::new(),
+        document: ConfigurationDocument {
+            tenants: vec![Tenant {
+                name: format!("t{number}").as_str().into(),
+                labels: Default::default(),
+                weight: 1,
+                limits: TenantLimits::default(),
+            }],
+            ..Default::default()
+        },
+    }
+}
+
+#[test]
+fn an_older_list_never_undoes_a_mark() {
+    let mut machines = Vec::new();
+    assert!(merge_machine(&mut machines, &machine(true, 5)));
+    assert!(!merge_machine(&mut machines, &machine(false, 4)));
+    assert!(machines[0].leaving);
+    assert!(merge_machine(&mut machines, &machine(false, 6)));
+    assert!(!machines[0].leaving);
+}
+
+#[test]
+fn a_lease_ends_without_heartbeats_and_a_former_process_does_not_renew_it() {
+    let mut table = MembershipTable::new(1, &ClusterView::default(), 1_000, 0);
+    table.report(&report(2, false), 0);
+    assert_eq!(table.view().usable_nodes().count(), 1);
+    table.report(&report(1, false), 900);
+    table.expire(1_000);
+    assert_eq!(table.view().nodes.len(), 0);
+}
+
+#[test]
+fn a_stopping_node_is_not_usable() {
+    let mut table = MembershipTable::new(1, &ClusterView::default(), 1_000, 0);
+    table.report(&report(2, false), 0);
+    let before = table.version();
+    table.report(&report(2, true), 10);
+    assert_eq!(table.view().usable_nodes().count(), 0);
+    assert!(table.version() > before);
+}
+
+#[test]
+fn a_new_leader_keeps_the_nodes_of_the_last_view_for_one_lease() {
+    let mut first = MembershipTable::new(1, &ClusterView::default(), 1_000, 0);
+    first.report(&report(2, false), 0);
+    let mut second = MembershipTable::new(2, &first.view(), 1_000, 5_000);
+    second.expire(5_500);
+    assert_eq!(second.view().usable_nodes().count(), 1);
+    assert!(second.view().version > first.view().version);
+    second.expire(6_001);
+    assert_eq!(second.view().usable_nodes().count(), 0);
+}
+
+#[test]
+fn updates_bring_a_node_forward_and_never_back() {
+    let mut state = ConfigurationState::default();
+    for number in 0..5 {
+        let outcome = state.apply_change(change(number, number));
+        assert_eq!(
+            outcome,
+            ChangeOutcome::Accepted {
+                revision: number + 1
+            }
+        );
+    }
+    let mut applied = AppliedConfiguration::default();
+    let full = state.update_since(None).expect("everything");
+    assert!(applied.apply(full.clone()));
+    assert_eq!(applied.revision(), Some(5));
+    let older = ConfigurationUpdate::Full {
+        revision: 4,
+        configuration: Default::default(),
+    };
+    assert!(!applied.apply(older));
+    assert!(!applied.apply(full));
+    state.apply_change(change(5, 5));
+    let delta = state.update_since(Some(4)).expect("two changes");
+    assert!(
+        matches!(&delta, ConfigurationUpdate::Changes { documents, .. } if documents.len() == 2)
+    );
+    assert!(applied.apply(delta));
+    assert_eq!(applied.configuration(), state.configuration());
+    assert_eq!(state.update_since(Some(6)), None);
+}
+
+#[test]
+fn a_gap_is_not_applied() {
+    let mut applied = AppliedConfiguration::default();
+    let ahead = ConfigurationUpdate::Changes {
+        base: 3,
+        documents: vec![change(1, 3).document],
+    };
+    assert!(!applied.apply(ahead));
+    assert_eq!(applied.revision(), None);
+}
