Measure hollow nodes and plan capacity from measured points

A node asks engines for their load at most 20 times a second, and beyond 64 engines only those of which it has home slots: before, 320 nodes would have polled 1,500 engines each 250 ms, 6,000 polls a second for each node.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,7 +3,9 @@
 pub mod check;
 pub mod configuration;
 pub mod emulate;
+pub mod hollow;
 pub mod load;
+pub mod plan;
 pub mod request;
 pub mod simulate;
 pub mod status;
@@ -29,8 +31,12 @@
     CheckHistory(check::CheckHistory),
     /// See [`emulate::Emulate`].
     Emulate(emulate::Emulate),
+    /// See [`hollow::Hollow`].
+    Hollow(hollow::Hollow),
     /// See [`load::Load`].
     Load(load::Load),
+    /// See [`plan::Plan`].
+    Plan(plan::Plan),
     /// See [`request::Request`].
     Request(request::Request),
     /// See [`simulate::Simulate`].
@@ -48,7 +54,9 @@
             Command::Check(command) => command.run(),
             Command::CheckHistory(command) => command.run(),
             Command::Emulate(command) => command.run(),
+            Command::Hollow(command) => command.run(),
             Command::Load(command) => command.run(),
+            Command::Plan(command) => command.run(),
             Command::Request(command) => command.run(),
             Command::Simulate(command) => command.run(),
         }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod errors;
 mod operator_client;
 mod output;
+mod plan;
 
 use argh::FromArgs;
 use commands::Command;
--- /dev/null
+++ b/crates/cli/src/plan/mod.rs
@@ -0,0 +1,8 @@
+//! Works out what each role costs at a size, from measured points.
+
+mod input;
+mod line;
+mod tables;
+
+pub use input::PlanInput;
+pub use tables::render;
--- /dev/null
+++ b/crates/cli/src/plan/tables.rs
@@ -0,0 +1,507 @@
+//! The tables of the capacity page.
+
+use super::input::{HollowPoint, PlanInput, ProcessPoint};
+use super::line::Line;
+use std::fmt::Write;
+
+/// Commits of a keyed request: begin, claim and finish.
+const COMMITS_PER_KEYED_REQUEST: f64 = 3.0;
+/// Voters of a group.
+const VOTERS: f64 = 5.0;
+/// Slots of an engine, assumed.
+const ENGINE_SLOTS: f64 = 16.0;
+/// Most polls of engines by a node.
+const POLLS_PER_SECOND: f64 = 20.0;
+const SECONDS_PER_DAY: f64 = 86_400.0;
+const BYTES_PER_MB: f64 = 1_048_576.0;
+const BYTES_PER_KB: f64 = 1_024.0;
+
+/// A measure of a role that grows with the number of nodes.
+struct Measure {
+    role: &'static str,
+    name: &'static str,
+    line: Line,
+    limit: Option<f64>,
+    mechanism: &'static str,
+}
+
+/// The page's tables as Markdown.
+pub fn render(input: &PlanInput) -> String {
+    let mut page = String::new();
+    let measures = measures(input);
+    control_table(&mut page, input, &measures);
+    breaking_table(&mut page, input, &measures);
+    recovery_table(&mut page, input);
+    in_force_table(&mut page, input);
+    load_table(&mut page, input);
+    ledger_table(&mut page, input);
+    data_path_table(&mut page, input);
+    day_table(&mut page, input);
+    page
+}
+
+fn hollow_line(input: &PlanInput, of: impl Fn(&HollowPoint) -> f64) -> Line {
+    let points: Vec<(f64, f64)> = input
+        .hollow
+        .iter()
+        .map(|one| (one.nodes, of(one)))
+        .collect();
+    Line::through(&points)
+}
+
+fn process_line(input: &PlanInput, of: impl Fn(&ProcessPoint) -> Option<f64>) -> Line {
+    let points: Vec<(f64, f64)> = input
+        .processes
+        .iter()
+        .filter_map(|one| Some((one.nodes, of(one)?)))
+        .collect();
+    Line::through(&points)
+}
+
+fn measures(input: &PlanInput) -> Vec<Measure> {
+    let budget = &input.budget;
+    let measure = |role, name, line, limit, mechanism| Measure {
+        role,
+        name,
+        line,
+        limit,
+        mechanism,
+    };
+    vec![
+        measure(
+            "entry node",
+            "control bytes/s",
+            hollow_line(input, |one| one.busiest_node.bytes),
+            Some(budget.node_bytes),
+            "one session with one relay; deltas",
+        ),
+        measure(
+            "entry node",
+            "control messages/s",
+            hollow_line(input, |one| one.busiest_node.messages),
+            None,
+            "one heartbeat each 400 ms",
+        ),
+        measure(
+            "entry node",
+            "control share of a core",
+            process_line(input, |one| one.node_cpu_share),
+            Some(budget.node_cpu_share),
+            "timers of an idle process",
+        ),
+        measure(
+            "entry node",
+            "resident MB, idle",
+            process_line(input, |one| one.node_resident_mb),
+            Some(budget.node_mb),
+            "whole configuration in memory",
+        ),
+        measure(
+            "relay (a voter)",
+            "bytes/s",
+            hollow_line(input, |one| one.voter.bytes),
+            None,
+            "its part of the sessions; reports bundled each 200 ms",
+        ),
+        measure(
+            "relay (a voter)",
+            "messages/s",
+            hollow_line(input, |one| one.voter.messages),
+            None,
+            "the same",
+        ),
+        measure(
+            "relay (a voter)",
+            "share of a core",
+            process_line(input, |one| Some(one.voter_cpu_share)),
+            None,
+            "the same",
+        ),
+        measure(
+            "relay (a voter)",
+            "resident MB",
+            process_line(input, |one| Some(one.voter_resident_mb)),
+            None,
+            "state machine and log",
+        ),
+        measure(
+            "leader",
+            "bytes/s",
+            hollow_line(input, |one| one.leader.bytes),
+            None,
+            "reports of all relays, view to all relays",
+        ),
+        measure(
+            "leader",
+            "messages/s",
+            hollow_line(input, |one| one.leader.messages),
+            None,
+            "the same",
+        ),
+        measure(
+            "leader",
+            "share of a core",
+            process_line(input, |one| Some(one.leader_cpu_share)),
+            None,
+            "the same",
+        ),
+        measure(
+            "leader",
+            "resident MB",
+            process_line(input, |one| Some(one.leader_resident_mb)),
+            None,
+            "state machine, log, membership table",
+        ),
+    ]
+}
+
+fn number(value: f64) -> String {
+    match value.abs() {
+        size if size >= 100.0 => format!("{value:.0}"),
+        size if size >= 1.0 => format!("{value:.1}"),
+        _ => format!("{value:.4}"),
+    }
+}
+
+fn row(page: &mut String, cells: &[String]) {
+    writeln!(page, "| {} |", cells.join(" | ")).expect("writing into memory does not fail");
+}
+
+fn heading(page: &mut String, title: &str, columns: &[&str]) {
+    let line = vec!["---"; columns.len()].join(" | ");
+    write!(
+        page,
+        "\n## {title}\n\n| {} |\n| {line} |\n",
+        columns.join(" | ")
+    )
+    .expect("writing into memory does not fail");
+}
+
+fn control_table(page: &mut String, input: &PlanInput, measures: &[Measure]) {
+    let title = format!("Control at {} nodes", input.size.nodes);
+    heading(
+        page,
+        &title,
+        &[
+            "role",
+            "measure",
+            "value",
+            "limit",
+            "kept",
+            "basis",
+            "mechanism",
+        ],
+    );
+    for measure in measures {
+        let value = measure.line.at(input.size.nodes);
+        let kept = match measure.limit {
+            Some(limit) if value <= limit => "yes",
+            Some(_) => "**no**",
+            None => "",
+        };
+        row(
+            page,
+            &[
+                measure.role.into(),
+                measure.name.into(),
+                number(value),
+                measure.limit.map(number).unwrap_or_default(),
+                kept.into(),
+                measure.line.basis(input.size.nodes),
+                measure.mechanism.into(),
+            ],
+        );
+    }
+}
+
+fn breaking_table(page: &mut String, input: &PlanInput, measures: &[Measure]) {
+    heading(
+        page,
+        "Which limit breaks first",
+        &["role", "measure", "limit", "slope for a node", "breaks at"],
+    );
+    let mut limited: Vec<(f64, &Measure, f64)> = measures
+        .iter()
+        .filter_map(|measure| {
+            let limit = measure.limit?;
+            let at = match measure.line.at(input.size.nodes) > limit {
+                true => measure.line.reaches(limit).unwrap_or(0.0).max(0.0),
+                false => measure.line.reaches(limit).unwrap_or(f64::INFINITY),
+            };
+            Some((at, measure, limit))
+        })
+        .collect();
+    limited.sort_by(|left, right| left.0.total_cmp(&right.0));
+    for (at, measure, limit) in limited {
+        let at = match at {
+            at if at.is_infinite() => "never by this line".to_owned(),
+            at if at < 1.0 => "any size".to_owned(),
+            at => format!("{at:.0} nodes"),
+        };
+        row(
+            page,
+            &[
+                measure.role.into(),
+                measure.name.into(),
+                number(limit),
+                format!("{:.6}", measure.line.slope),
+                at,
+            ],
+        );
+    }
+}
+
+fn recovery_table(page: &mut String, input: &PlanInput) {
+    heading(
+        page,
+        "Time until all nodes are in step, ms of virtual time (measured, hollow)",
+        &[
+            "nodes",
+            "formation",
+            "after a tenth cut off",
+            "a zone",
+            "a region",
+            "revisions behind",
+            "rolling restart",
+            "full restart",
+        ],
+    );
+    for one in &input.hollow {
+        let values = [
+            one.nodes,
+            one.formed_ms,
+            one.after_tenth_ms,
+            one.after_zone_ms,
+            one.after_region_ms,
+            one.region_behind,
+            one.after_rolling_ms,
+            one.after_full_restart_ms,
+        ];
+        let cells: Vec<String> = values.iter().map(f64::to_string).collect();
+        row(page, &cells);
+    }
+}
+
+fn in_force_table(page: &mut String, input: &PlanInput) {
+    let title = format!(
+        "Time until a change is in force everywhere, limit {} ms",
+        input.budget.in_force_ms
+    );
+    heading(page, &title, &["nodes", "median ms", "worst ms", "basis"]);
+    for one in &input.processes {
+        let basis = "measured, real processes".to_owned();
+        row(
+            page,
+            &[
+                one.nodes.to_string(),
+                one.in_force_median_ms.to_string(),
+                one.in_force_worst_ms.to_string(),
+                basis,
+            ],
+        );
+    }
+    for one in &input.hollow {
+        let basis = "measured, hollow, virtual time without processing".to_owned();
+        row(
+            page,
+            &[
+                one.nodes.to_string(),
+                one.in_force_median_ms.to_string(),
+                one.in_force_worst_ms.to_string(),
+                basis,
+            ],
+        );
+    }
+}
+
+fn load_table(page: &mut String, input: &PlanInput) {
+    let size = &input.size;
+    let home = (size.engines * ENGINE_SLOTS / size.nodes).min(size.engines);
+    let polls = home.min(POLLS_PER_SECOND);
+    let bytes = polls * input.assumed.poll_bytes;
+    heading(
+        page,
+        "Engines' load reports",
+        &["measure", "value", "basis"],
+    );
+    let rows = [
+        (
+            "engines with home slots on a node",
+            number(home),
+            format!("{ENGINE_SLOTS} slots an engine"),
+        ),
+        (
+            "polls a second of a node",
+            number(polls),
+            format!("mechanism: at most {POLLS_PER_SECOND}"),
+        ),
+        (
+            "seconds between polls of one engine by a node",
+            number(home / polls),
+            "from the lines above".into(),
+        ),
+        (
+            "polls a second at an engine",
+            number(polls * size.nodes / size.engines),
+            "from the lines above".into(),
+        ),
+        (
+            "bytes/s of a node",
+            number(bytes),
+            format!(
+                "assumed {} bytes a poll; with the session's bytes below {}",
+                input.assumed.poll_bytes, input.budget.node_bytes
+            ),
+        ),
+    ];
+    for (name, value, basis) in rows {
+        row(page, &[name.into(), value, basis]);
+    }
+}
+
+fn ledger_table(page: &mut String, input: &PlanInput) {
+    let assumed = &input.assumed;
+    let keyed = input.size.requests * assumed.keyed_share;
+    let commits = keyed * COMMITS_PER_KEYED_REQUEST;
+    let groups = (commits / assumed.group_commits).ceil().max(1.0);
+    let records = keyed * assumed.retention_seconds;
+    let state_mb = records * assumed.record_bytes / BYTES_PER_MB;
+    let machines = VOTERS + 3.0 * groups;
+    heading(page, "Ledger at the peak", &["measure", "value", "basis"]);
+    let rows = [
+        (
+            "requests with a key a second",
+            number(keyed),
+            format!("assumed share {}", assumed.keyed_share),
+        ),
+        (
+            "commits a second",
+            number(commits),
+            "three for each: begin, claim, finish".into(),
+        ),
+        (
+            "groups needed",
+            number(groups),
+            format!("assumed {} commits/s a group", assumed.group_commits),
+        ),
+        (
+            "records kept",
+            number(records),
+            format!("assumed {} s retention", assumed.retention_seconds),
+        ),
+        (
+            "state of one replica, MB",
+            number(state_mb / groups),
+            format!("assumed {} bytes a record", assumed.record_bytes),
+        ),
+        (
+            "machines for control and ledger",
+            number(machines),
+            format!(
+                "5 voters, 3 a ledger group; limit {}",
+                input.budget.machines
+            ),
+        ),
+    ];
+    for (name, value, basis) in rows {
+        row(page, &[name.into(), value, basis]);
+    }
+}
+
+fn data_path_table(page: &mut String, input: &PlanInput) {
+    let (size, path, assumed) = (&input.size, &input.data_path, &input.assumed);
+    let ledger_us = path.keyed_stage_cpu_us - path.stage_cpu_us;
+    let request_us = path.stage_cpu_us * size.stages + ledger_us.max(0.0) * assumed.keyed_share;
+    let cores = (size.requests * request_us + size.tokens * path.token_cpu_us) / 1e6;
+    let zone_left = (size.zones - 1.0) / size.zones;
+    let nodes = cores / assumed.data_core_share / zone_left;
+    let streams = size.requests * assumed.stream_seconds / (size.nodes * zone_left);
+    heading(page, "Data path", &["measure", "value", "basis"]);
+    let rows = [
+        (
+            "processor µs of a stage",
+            number(path.stage_cpu_us),
+            "measured, one process".to_owned(),
+        ),
+        (
+            "processor µs of a key's ledger commits",
+            number(ledger_us),
+            "measured, one process that is its own quorum".into(),
+        ),
+        (
+            "processor µs of a streamed token",
+            number(path.token_cpu_us),
+            "measured, one process".into(),
+        ),
+        (
+            "requests a second for a core, without tokens",
+            number(1e6 / request_us),
+            format!("{} stages", size.stages),
+        ),
+        (
+            "tokens a second for a core",
+            number(1e6 / path.token_cpu_us),
+            "from the line above".into(),
+        ),
+        (
+            "cores at the peak",
+            number(cores),
+            "requests and tokens together".into(),
+        ),
+        (
+            "nodes needed with a zone lost",
+            number(nodes),
+            format!("assumed {} of a core each", assumed.data_core_share),
+        ),
+        (
+            "nodes there are with a zone lost",
+            number(size.nodes * zone_left),
+            "size".into(),
+        ),
+        (
+            "memory of an open stream, kB",
+            number(path.open_stream_kb),
+            "measured, 300 streams".into(),
+        ),
+        (
+            "memory of a node's streams with a zone lost, MB",
+            number(streams * path.open_stream_kb / BYTES_PER_KB),
+            format!("assumed {} s a stream", assumed.stream_seconds),
+        ),
+    ];
+    for (name, value, basis) in rows {
+        row(page, &[name.into(), value, basis]);
+    }
+}
+
+fn day_table(page: &mut String, input: &PlanInput) {
+    let size = &input.size;
+    let events = size.failures_a_day + size.restarts_a_day;
+    let configuration = input
+        .hollow
+        .first()
+        .map_or(0.0, |one| one.configuration_bytes);
+    // A node leaves, comes back and is usable again.
+    let views = events * 3.0;
+    heading(page, "A day", &["measure", "value", "basis"]);
+    let rows = [
+        (
+            "membership changes an hour",
+            number(views / 24.0),
+            "three for each failure or restart".to_owned(),
+        ),
+        (
+            "catch-up of configuration, bytes a second over all nodes",
+            number(events * configuration / SECONDS_PER_DAY),
+            "the whole configuration for each".into(),
+        ),
+        (
+            "changes in an hour, which a region alone for an hour is behind",
+            number(size.changes_a_day / 24.0),
+            "size".into(),
+        ),
+    ];
+    for (name, value, basis) in rows {
+        row(page, &[name.into(), value, basis]);
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -22,11 +22,12 @@
 use serde_json::json;
 use silversail_backend::Agents;
 use silversail_consensus::{ReplicaId, StateMachine};
-use silversail_control::{ChangeOutcome, ChangeRequest, ConfigurationState};
+use silversail_control::{ChangeOutcome, ChangeRequest, ConfigurationState, ViewVersion};
 use silversail_http::{HttpServer, HttpServerConfig};
 use silversail_ledger::LedgerState;
-use silversail_model::{BackendKind, NodeName, ResultCode};
+use silversail_model::{Backend, BackendKind, NodeName, ResultCode};
 use silversail_peer::{Envelope, GroupId, GroupMessage, NngTransport, PeerMessage, SessionMessage};
+use silversail_routing::SlotTable;
 use silversail_storage::write_queue::WriteNotice;
 use silversail_storage::{FolderLock, ReplicaStore, StorageError, WriteQueue};
 use stakker::{actor, call, fwd_nop, fwd_to, ret_nop, ret_some_do, ActorOwn, Fwd, Stakker};
@@ -41,6 +42,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Most events taken in one go, so that timers are not kept waiting.
 const EVENTS_PER_TURN: usize = 256;
+/// Up to so many engines a process asks all of them for their loads.
+const FEW_ENGINES: usize = 64;
 /// Longest wait for a change to be committed.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(6);
 
@@ -100,7 +103,7 @@
     stop: Option<ActorOwn<StopActor>>,
     server: Rc<HttpServer>,
     engine_targets: EngineTargets,
-    seen_revision: Option<u64>,
+    seen_state: Option<(Option<u64>, ViewVersion)>,
     failure: Option<NodeError>,
 }
 
@@ -248,21 +251,31 @@
         }
     }
 
-    /// Tells the load pollers of new engines.
+    /// Tells the load pollers which engines to ask: all where they are few,
+    /// else those of which this node has home slots.
     fn follow_configuration(&mut self) {
         let state = self.state.borrow();
-        let revision = state.configuration.revision();
-        if revision == self.seen_revision {
+        let seen = (state.configuration.revision(), state.view.version);
+        if self.seen_state == Some(seen) {
             return;
         }
-        self.seen_revision = revision;
-        let targets = state
-            .configuration
-            .configuration()
-            .backends
+        self.seen_state = Some(seen);
+        let backends = &state.configuration.configuration().backends;
+        let engines: Vec<&Backend> = backends
             .values()
             .filter(|backend| backend.kind == BackendKind::Engine)
-            .map(|backend| (backend.name.clone(), backend.address.clone()))
+            .collect();
+        let table = SlotTable::new(engines.iter().map(|engine| (&engine.name, engine.slots)));
+        let (nodes, rank) = state.share(&self.settings.node);
+        let is_asked = |engine: &&Backend| {
+            engines.len() <= FEW_ENGINES
+                || table.home_slots(&engine.name, engine.slots, nodes, rank) > 0
+        };
+        let targets = engines
+            .iter()
+            .copied()
+            .filter(is_asked)
+            .map(|engine| (engine.name.clone(), engine.address.clone()))
             .collect();
         if let Ok(mut current) = self.engine_targets.lock() {
             *current = targets;
@@ -501,7 +514,7 @@
             stop: None,
             server: Rc::new(server),
             engine_targets,
-            seen_revision: None,
+            seen_state: None,
             failure: None,
         })
     }
--- a/crates/daemon/src/pollers.rs
+++ b/crates/daemon/src/pollers.rs
@@ -12,6 +12,9 @@
 
 /// Threads that share the engines.
 const LOAD_THREADS: usize = 4;
+/// Most loads that a process asks for in a second. More engines are asked less
+/// often each, so that the cost to a node does not grow with the cluster.
+const POLLS_PER_SECOND: u32 = 20;
 
 /// Starts asking engines for their loads.
 pub fn start_load_pollers(
@@ -39,11 +42,17 @@
                     }
                 }
             }
-            thread::sleep(interval);
+            thread::sleep(interval.max(round_time(&targets)));
         });
     }
 }
 
+/// Shortest time of a round over all targets.
+fn round_time(targets: &EngineTargets) -> Duration {
+    let count = targets.lock().map_or(0, |targets| targets.len());
+    Duration::from_secs(count as u64) / POLLS_PER_SECOND
+}
+
 /// Starts reading the platform's list.
 pub fn start_platform_poller(
     agents: Agents,
--- a/crates/routing/src/slots.rs
+++ b/crates/routing/src/slots.rs
@@ -47,6 +47,16 @@
         Self { first_slot }
     }
 
+    /// Number of back ends in the table.
+    pub fn len(&self) -> usize {
+        self.first_slot.len()
+    }
+
+    /// Whether the table is empty.
+    pub fn is_empty(&self) -> bool {
+        self.first_slot.is_empty()
+    }
+
     /// How many slots of `backend` have the node of this rank as their home.
     pub fn home_slots(&self, backend: &BackendName, slots: u32, nodes: u32, rank: u32) -> u32 {
         let Some(first) = self.first_slot.get(backend) else {
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -3,11 +3,13 @@
 
 pub mod calls;
 pub mod disk;
+pub mod hollow;
 pub mod network;
 pub mod node;
 pub mod scenario;
 pub mod traffic;
 pub mod world;
 
+pub use hollow::{run_hollow, HollowReport};
 pub use scenario::{run_seed, SeedReport};
 pub use world::World;
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -36,6 +36,7 @@
     /// Until when it is frozen.
     pub frozen_until: Option<Millis>,
     wake_at: Millis,
+    seen_revision: Option<u64>,
     frozen_messages: VecDeque<silversail_peer::Envelope>,
 }
 
@@ -122,6 +123,7 @@
             node: None,
             frozen_until: None,
             wake_at: 0,
+            seen_revision: None,
             frozen_messages: VecDeque::new(),
         }
     }
@@ -319,11 +321,11 @@
         let Some(revision) = revision else {
             return;
         };
-        let name = &self.places[position].name.0;
-        let last = self.revisions.iter().rev().find(|seen| seen.node == *name);
-        if last.map(|seen| seen.revision) != Some(revision) {
+        let place = &mut self.places[position];
+        if place.seen_revision != Some(revision) {
+            place.seen_revision = Some(revision);
             self.revisions.push(RevisionRecord {
-                node: name.clone(),
+                node: place.name.0.clone(),
                 revision,
             });
         }
