--- a/crates/cli/src/commands/simulate.rs
+++ b/crates/cli/src/commands/simulate.rs
@@ -69,6 +69,14 @@
         recoveries.get(recoveries.len() / 2).unwrap_or(&0),
         recoveries.last().unwrap_or(&0),
     );
+    let first = reports
+        .iter()
+        .filter(|report| !report.failures.is_empty())
+        .min_by_key(|report| report.seed);
+    if let Some(first) = first {
+        let failure = first.failures.first().map_or("", String::as_str);
+        println!("first failing seed {}: {failure}", first.seed);
+    }
     match failed {
         0 => Ok(()),
         _ => Err(CliError::Local(format!("{failed} seeds failed"))),
--- a/crates/cli/src/plan/tables.rs
+++ b/crates/cli/src/plan/tables.rs
@@ -75,6 +75,13 @@
             Some(budget.node_bytes),
             "one session with one relay; deltas",
         ),
+        measure(
+            "entry node",
+            "the same, mean",
+            hollow_line(input, |one| one.node.bytes),
+            Some(budget.node_bytes),
+            "the same",
+        ),
         measure(
             "entry node",
             "control messages/s",
@@ -89,6 +96,20 @@
             Some(budget.node_cpu_share),
             "timers of an idle process",
         ),
+        measure(
+            "entry node",
+            "the same, actors alone",
+            hollow_line(input, |one| one.node_cpu_us_per_s / 1e6),
+            Some(budget.node_cpu_share),
+            "hollow: without threads and sockets",
+        ),
+        measure(
+            "entry node",
+            "bytes/s received, real process",
+            process_line(input, |one| one.node_received_bytes_per_s),
+            Some(budget.node_bytes),
+            "one session with one relay; deltas",
+        ),
         measure(
             "entry node",
             "resident MB, idle",
@@ -110,6 +131,13 @@
             None,
             "the same",
         ),
+        measure(
+            "relay (a voter)",
+            "bytes/s received, real process",
+            process_line(input, |one| Some(one.voter_received_bytes_per_s)),
+            None,
+            "the same",
+        ),
         measure(
             "relay (a voter)",
             "share of a core",
@@ -138,6 +166,13 @@
             None,
             "the same",
         ),
+        measure(
+            "leader",
+            "bytes/s received, real process",
+            process_line(input, |one| Some(one.leader_received_bytes_per_s)),
+            None,
+            "the same",
+        ),
         measure(
             "leader",
             "share of a core",
@@ -379,6 +414,14 @@
             number(commits),
             "three for each: begin, claim, finish".into(),
         ),
+        (
+            "bytes/s written by the replicas of all groups",
+            number(commits * input.data_path.ledger_commit_bytes),
+            format!(
+                "measured: {} bytes a commit",
+                number(input.data_path.ledger_commit_bytes)
+            ),
+        ),
         (
             "groups needed",
             number(groups),
@@ -490,6 +533,14 @@
             number(views / 24.0),
             "three for each failure or restart".to_owned(),
         ),
+        (
+            "whole configuration, bytes",
+            number(configuration),
+            format!(
+                "measured: {} tenants, {} engines",
+                size.tenants, size.engines
+            ),
+        ),
         (
             "catch-up of configuration, bytes a second over all nodes",
             number(events * configuration / SECONDS_PER_DAY),
