--- a/crates/simulation/src/hollow.rs
+++ b/crates/simulation/src/hollow.rs
@@ -241,7 +241,7 @@
         let zone: Vec<usize> = (0..nodes).filter(|node| node % ZONES == 0).collect();
         self.report.after_zone_ms = self.cut(&zone).0;
         let region: Vec<usize> = (0..nodes)
-            .filter(|node| (node % ZONES) % REGIONS == 0)
+            .filter(|node| (node % ZONES).is_multiple_of(REGIONS))
             .collect();
         let (time, behind) = self.cut(&region);
         self.report.after_region_ms = time;
