Turn declared intent into fenced orders to engines

Change: orders in the control group's log, committed before they are sent, one outstanding at an engine; a pure plan from holdings to the declared target; pacing by the weight store's rate; managed engines serve only what they say they hold; the emulated weight store, models and order log.

--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -19,12 +19,15 @@
 const MAX_RESUMES: u32 = 2;
 
 /// An engine's report of its load.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 pub struct EngineLoad {
     /// Sequences being generated.
     pub running: u32,
     /// Sequences waiting.
     pub waiting: u32,
+    /// Models that it holds, where it tells.
+    #[serde(default)]
+    pub models: Vec<String>,
 }
 
 #[derive(Serialize)]
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod agent;
 pub mod call;
 pub mod engine;
+pub mod order;
 pub mod platform;
 pub mod service;
 
--- a/crates/control/src/configuration_state.rs
+++ b/crates/control/src/configuration_state.rs
@@ -3,7 +3,6 @@
 use crate::change::{ChangeOutcome, ChangeRequest};
 use crate::update::ConfigurationUpdate;
 use serde::{Deserialize, Serialize};
-use silversail_consensus::{Index, StateMachine};
 use silversail_model::{ChangeId, Configuration, ConfigurationDocument, Revision};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -39,7 +38,7 @@
     history: VecDeque<HistoryEntry>,
 }
 
-/// The state machine of the control group.
+/// The configuration with its accepted changes.
 #[derive(Debug, Default)]
 pub struct ConfigurationState {
     replicated: Replicated,
@@ -163,20 +162,14 @@
     crc32fast::hash(&encoded)
 }
 
-impl StateMachine for ConfigurationState {
-    fn apply(&mut self, _index: Index, command: &[u8]) -> Vec<u8> {
-        let Ok(request) = postcard::from_bytes::<ChangeRequest>(command) else {
-            return Vec::new();
-        };
-        let outcome = self.apply_change(request);
-        postcard::to_stdvec(&outcome).expect("encoding into memory does not fail")
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
+impl ConfigurationState {
+    /// The whole state, encoded.
+    pub fn snapshot(&self) -> Vec<u8> {
         postcard::to_stdvec(&self.replicated).expect("encoding into memory does not fail")
     }
 
-    fn restore(&mut self, snapshot: &[u8]) -> bool {
+    /// Replaces the state by a snapshot; false when it can't be decoded.
+    pub fn restore(&mut self, snapshot: &[u8]) -> bool {
         let Ok(replicated) = postcard::from_bytes(snapshot) else {
             return false;
         };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,15 +1,21 @@
 //! The control group's state: configuration revisions with deduplicated
-//! changes (replicated), and the view of live nodes and leaving machines (held
+//! changes and orders to engines (replicated), and the view of live nodes and leaving machines (held
 //! by the leader, rebuilt after an election).
 
 pub mod change;
 pub mod configuration_state;
+pub mod control_state;
 pub mod membership_table;
+pub mod order_plan;
+pub mod orders;
 pub mod update;
 pub mod view;
 
 pub use change::{ChangeOutcome, ChangeRequest};
 pub use configuration_state::ConfigurationState;
+pub use control_state::{ControlCommand, ControlState};
 pub use membership_table::MembershipTable;
+pub use order_plan::{plan_orders, Holdings, PlannedOrder};
+pub use orders::{Order, OrderAction, OrderBook, OrderCommand, OrderId, OrderReply};
 pub use update::{AppliedConfiguration, ConfigurationUpdate};
 pub use view::{ClusterView, MachineState, NodeReport, NodeStatus, ViewVersion};
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -2,7 +2,9 @@
 //! next; a new one is started only when none waits.
 
 use crate::event::{Event, EventSender};
-use silversail_backend::{engine, service, Agents, StageCall, TokenSink};
+use silversail_backend::order::EngineOrder;
+use silversail_backend::{engine, order, service, Agents, StageCall, TokenSink};
+use silversail_control::OrderId;
 use std::io;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -23,6 +25,11 @@
         address: String,
         attempt: String,
     },
+    Order {
+        id: OrderId,
+        address: String,
+        order: EngineOrder,
+    },
 }
 
 /// Runs back-end calls; the end of each is reported as an event.
@@ -41,6 +48,12 @@
     fn cancel_generation(&self, address: String, attempt: String);
 }
 
+/// Sends orders to engines; the end of each is reported as an event.
+pub trait OrderSender {
+    /// Starts sending. An error means that nothing was sent.
+    fn send_order(&self, id: OrderId, address: String, order: EngineOrder) -> io::Result<()>;
+}
+
 /// Runs calls on threads and reports to the main thread.
 #[derive(Clone)]
 pub struct CallRunner {
@@ -102,6 +115,10 @@
 
     fn run_job(&self, job: Job) {
         match job {
+            Job::Order { id, address, order } => {
+                let result = order::send(&self.agents, &address, &order);
+                let _ = self.events.send(Event::OrderSent { id, result });
+            }
             Job::Cancel { address, attempt } => engine::cancel(&self.agents, &address, &attempt),
             Job::Stage {
                 attempt,
@@ -153,6 +170,12 @@
     }
 }
 
+impl OrderSender for CallRunner {
+    fn send_order(&self, id: OrderId, address: String, order: EngineOrder) -> io::Result<()> {
+        self.submit(Job::Order { id, address, order })
+    }
+}
+
 /// Sends tokens to the main thread, where they are wanted.
 struct EventSink<'a> {
     attempt: u64,
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -3,6 +3,7 @@
 use crate::requests::active::{CallerRequest, RequestNumber};
 use crate::surface::operators::{OperatorReply, OperatorRequest};
 use silversail_backend::{CallFailure, EngineLoad, MachineList, StageOutput};
+use silversail_control::OrderId;
 use silversail_http::Responder;
 use silversail_model::BackendName;
 use silversail_peer::{Envelope, GroupId};
@@ -67,6 +68,13 @@
         /// Its load.
         load: EngineLoad,
     },
+    /// An engine answered an order, or did not.
+    OrderSent {
+        /// The order.
+        id: OrderId,
+        /// What the engine said.
+        result: Result<(), CallFailure>,
+    },
     /// The platform's list.
     MachineList(MachineList),
     /// An operator's request.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod orders;
 pub mod outbox;
 pub mod pollers;
 pub mod replica;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -4,6 +4,7 @@
 use crate::clock::{wall_clock_ms, Clock};
 use crate::event::{Event, EventSender};
 use crate::metrics::Metrics;
+use crate::orders::{OrderActor, OrderSetup};
 use crate::outbox::{Outbox, SharedOutbox};
 use crate::pollers::{start_load_pollers, start_platform_poller, EngineTargets};
 use crate::replica::{
@@ -22,7 +23,7 @@
 use serde_json::json;
 use silversail_backend::Agents;
 use silversail_consensus::{ReplicaId, StateMachine};
-use silversail_control::{ChangeOutcome, ChangeRequest, ConfigurationState, ViewVersion};
+use silversail_control::{ChangeOutcome, ChangeRequest, ControlCommand, ControlState, ViewVersion};
 use silversail_http::{HttpServer, HttpServerConfig};
 use silversail_ledger::LedgerState;
 use silversail_model::{Backend, BackendKind, NodeName, ResultCode};
@@ -79,9 +80,10 @@
 
 /// The replicas of a voter.
 struct VoterActors {
-    control: ActorOwn<ReplicaActor<ConfigurationState>>,
+    control: ActorOwn<ReplicaActor<ControlState>>,
     ledgers: Vec<ActorOwn<ReplicaActor<LedgerState>>>,
     relay: ActorOwn<RelayActor>,
+    machine: Rc<RefCell<ControlState>>,
     _lock: FolderLock,
 }
 
@@ -100,6 +102,7 @@
     ledger_proposers: Vec<ActorOwn<ProposerActor>>,
     session: ActorOwn<SessionActor>,
     requests: ActorOwn<RequestActor>,
+    orders: Option<ActorOwn<OrderActor>>,
     stop: Option<ActorOwn<StopActor>>,
     server: Rc<HttpServer>,
     engine_targets: EngineTargets,
@@ -177,8 +180,16 @@
                 text,
             } => call!([self.requests], token(attempt, sequence, text)),
             Event::EngineLoad { backend, load } => {
+                if let Some(orders) = &self.orders {
+                    call!([orders], engine_load(backend.clone(), load.clone()));
+                }
                 call!([self.requests], engine_load(backend, load))
             }
+            Event::OrderSent { id, result } => {
+                if let Some(orders) = &self.orders {
+                    call!([orders], sent(id, result));
+                }
+            }
             Event::MachineList(list) => call!([self.session], machine_list(list)),
             Event::Operator { request, reply } => self.operator(request, reply),
             Event::Terminate => self.terminate(),
@@ -312,7 +323,7 @@
     }
 
     fn change(&mut self, change: ChangeRequest, reply: SyncSender<OperatorReply>) {
-        let command = postcard::to_stdvec(&change).expect("encoding into memory does not fail");
+        let command = ControlCommand::Change(change).encode();
         let ret = ret_some_do!(move |outcome: ProposalOutcome| {
             let _ = reply.try_send(change_reply(outcome));
         });
@@ -484,6 +495,9 @@
         let agents = Agents::new();
         let requests = self.request_actor(&agents, &state, &ledger_proposers);
         let session = self.session_actor(&outbox, &state, &requests);
+        let orders = voter
+            .as_ref()
+            .map(|voter| self.order_actor(&agents, &state, &voter.machine, &control_proposer));
         let server = self.caller_server()?;
         operators::start(
             &self.settings.operators,
@@ -511,6 +525,7 @@
             ledger_proposers,
             session,
             requests,
+            orders,
             stop: None,
             server: Rc::new(server),
             engine_targets,
@@ -571,7 +586,7 @@
             return Err(NodeError::new(ResultCode::DataFolder, "no data folder"));
         };
         let lock = FolderLock::acquire(folder)?;
-        let machine = Rc::new(RefCell::new(ConfigurationState::default()));
+        let machine = Rc::new(RefCell::new(ControlState::default()));
         let status = self.status_of(GroupId::Control);
         let relay = actor!(
             &mut self.stakker,
@@ -586,7 +601,7 @@
             ret_nop!()
         );
         let on_applied = fwd_to!([relay], configuration_applied() as ());
-        let control = self.replica(GroupId::Control, machine, outbox, on_applied)?;
+        let control = self.replica(GroupId::Control, machine.clone(), outbox, on_applied)?;
         let mut ledgers = Vec::new();
         for part in 0..settings.cluster.ledger_groups {
             let retention = settings.timing.ledger_retention_ms;
@@ -597,6 +612,7 @@
             control,
             ledgers,
             relay,
+            machine,
             _lock: lock,
         })
     }
@@ -703,6 +719,26 @@
         actor!(&mut self.stakker, SessionActor::init(setup), ret_nop!())
     }
 
+    fn order_actor(
+        &mut self,
+        agents: &Agents,
+        state: &SharedNodeState,
+        machine: &Rc<RefCell<ControlState>>,
+        proposer: &ActorOwn<ProposerActor>,
+    ) -> ActorOwn<OrderActor> {
+        let setup = OrderSetup {
+            machine: machine.clone(),
+            status: self.status_of(GroupId::Control),
+            state: state.clone(),
+            proposer: (**proposer).clone(),
+            sender: Box::new(CallRunner::new(agents.clone(), self.events.clone())),
+            leader_lease: self.settings.timing.election_timeout_ms,
+            weight_store_mb_per_s: self.settings.timing.weight_store_mb_per_s,
+            clock: self.clock,
+        };
+        actor!(&mut self.stakker, OrderActor::init(setup), ret_nop!())
+    }
+
     fn caller_server(&self) -> Result<HttpServer, NodeError> {
         let limits = &self.settings.limits;
         let address = self.settings.caller_listen_address();
--- a/crates/daemon/src/requests/actor.rs
+++ b/crates/daemon/src/requests/actor.rs
@@ -128,6 +128,9 @@
         self.pools
             .load(&backend)
             .report(load.running + load.waiting, now);
+        if self.pools.note_holdings(&backend, load.models) {
+            self.deal_slots();
+        }
         // Slots that were reported free may be used.
         self.settle(cx);
     }
@@ -139,12 +142,17 @@
             let state = self.setup.state.borrow();
             let (nodes, rank) = state.share(&self.setup.node);
             self.limiter.set_share(nodes, rank);
-            let backends = &state.configuration.configuration().backends;
-            self.pools.deal_slots(backends.values());
         }
+        self.deal_slots();
         self.settle(cx);
     }
 
+    fn deal_slots(&mut self) {
+        let state = self.setup.state.borrow();
+        let backends = &state.configuration.configuration().backends;
+        self.pools.deal_slots(backends.values());
+    }
+
     /// Number of requests under way.
     pub fn open_requests(&self) -> usize {
         self.requests.len()
--- a/crates/daemon/src/requests/admit.rs
+++ b/crates/daemon/src/requests/admit.rs
@@ -162,11 +162,17 @@
             .iter()
             .filter_map(|name| backends.get(name))
             .filter(|backend| !state.is_leaving(&backend.address))
+            .filter(|backend| self.pools.holds_model(pool, backend))
             .map(|backend| self.pools.own_slots(backend, share))
             .sum();
         // Where the pool has fewer slots than there are nodes, some nodes have
         // none of their own and use free ones.
-        let is_served = !self.pools.members(pool).is_empty();
+        let is_served = self
+            .pools
+            .members(pool)
+            .iter()
+            .filter_map(|name| backends.get(name))
+            .any(|backend| self.pools.holds_model(pool, backend));
         own.max(u32::from(is_served))
     }
 
--- a/crates/daemon/src/requests/dispatch.rs
+++ b/crates/daemon/src/requests/dispatch.rs
@@ -93,6 +93,7 @@
             .iter()
             .filter_map(|name| backends.get(name))
             .filter(|backend| !backend.drain && !state.is_leaving(&backend.address))
+            .filter(|backend| self.pools.holds_model(pool, backend))
             .filter(|backend| self.pools.has_slot(backend, share, now))
             .collect();
         let is_healthy = |backend: &&&Backend| {
--- a/crates/daemon/src/requests/pools.rs
+++ b/crates/daemon/src/requests/pools.rs
@@ -19,11 +19,20 @@
 
 type StageKey = (PipelineName, usize);
 
+/// What makes a pool: its back ends, and the model that managed ones must hold.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct PoolSpec {
+    members: Vec<BackendName>,
+    model: Option<String>,
+}
+
 /// Sets of back ends with their loads.
 #[derive(Default)]
 pub struct Pools {
-    members: Vec<Vec<BackendName>>,
-    ids: HashMap<Vec<BackendName>, PoolId>,
+    specs: Vec<PoolSpec>,
+    ids: HashMap<PoolSpec, PoolId>,
+    /// Models that engines said they hold.
+    holdings: BTreeMap<BackendName, Vec<String>>,
     of_stage: HashMap<StageKey, PoolId>,
     service: HashMap<StageKey, MovingAverage>,
     loads: BTreeMap<BackendName, BackendLoad>,
@@ -53,12 +62,16 @@
             .backends_for(stage)
             .map(|backend| backend.name.clone())
             .collect();
-        let pool = match self.ids.get(&members) {
+        let spec = PoolSpec {
+            members,
+            model: stage.model.clone(),
+        };
+        let pool = match self.ids.get(&spec) {
             Some(pool) => *pool,
             None => {
-                let pool = PoolId(self.members.len() as u32);
-                self.members.push(members.clone());
-                self.ids.insert(members, pool);
+                let pool = PoolId(self.specs.len() as u32);
+                self.specs.push(spec.clone());
+                self.ids.insert(spec, pool);
                 pool
             }
         };
@@ -68,7 +81,29 @@
 
     /// Back ends of a pool.
     pub fn members(&self, pool: PoolId) -> &[BackendName] {
-        self.members.get(pool.0 as usize).map_or(&[], Vec::as_slice)
+        self.specs
+            .get(pool.0 as usize)
+            .map_or(&[], |spec| spec.members.as_slice())
+    }
+
+    /// Whether a back end holds what the pool's stages need: a managed engine
+    /// must have said that it holds the model.
+    pub fn holds_model(&self, pool: PoolId, backend: &Backend) -> bool {
+        let spec = self.specs.get(pool.0 as usize);
+        let Some(model) = spec.and_then(|spec| spec.model.as_ref()) else {
+            return true;
+        };
+        !backend.managed
+            || self
+                .holdings
+                .get(&backend.name)
+                .is_some_and(|models| models.contains(model))
+    }
+
+    /// Notes what an engine holds; true when that changed.
+    pub fn note_holdings(&mut self, backend: &BackendName, models: Vec<String>) -> bool {
+        let known = self.holdings.insert(backend.clone(), models.clone());
+        known.as_ref() != Some(&models)
     }
 
     /// Expected service time of a stage, in milliseconds.
@@ -119,8 +154,16 @@
 impl Pools {
     /// Deals the slots of back ends out to nodes, after a configuration change.
     pub fn deal_slots<'a>(&mut self, backends: impl Iterator<Item = &'a Backend>) {
-        let engines = backends.filter(|backend| backend.kind == BackendKind::Engine);
-        self.slots = SlotTable::new(engines.map(|backend| (&backend.name, backend.slots)));
+        // Managed engines are dealt by the model that they hold, so that each
+        // node gets its part of each model's slots.
+        let mut by_model: BTreeMap<Option<&str>, Vec<&Backend>> = BTreeMap::new();
+        for engine in backends.filter(|backend| backend.kind == BackendKind::Engine) {
+            let held = self.holdings.get(&engine.name).filter(|_| engine.managed);
+            let model = held.and_then(|models| models.first()).map(String::as_str);
+            by_model.entry(model).or_default().push(engine);
+        }
+        let dealt = by_model.values().flatten();
+        self.slots = SlotTable::new(dealt.map(|engine| (&engine.name, engine.slots)));
     }
 
     /// How many calls this node may have at a back end whatever its load.
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -5,9 +5,7 @@
 use crate::outbox::SharedOutbox;
 use crate::replica::SharedStatus;
 use silversail_consensus::Millis;
-use silversail_control::{
-    ClusterView, ConfigurationState, MembershipTable, NodeReport, ViewVersion,
-};
+use silversail_control::{ClusterView, ControlState, MembershipTable, NodeReport, ViewVersion};
 use silversail_model::{NodeName, Revision};
 use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply};
 use stakker::{after, CX};
@@ -28,7 +26,7 @@
     /// All voters.
     pub voters: Vec<NodeName>,
     /// The replicated configuration.
-    pub machine: Rc<RefCell<ConfigurationState>>,
+    pub machine: Rc<RefCell<ControlState>>,
     /// Status of the own replica of the control group.
     pub status: SharedStatus,
     /// Sending.
@@ -166,7 +164,8 @@
     }
 
     fn reply(&self, heartbeat: &SessionHeartbeat, now: Millis) -> SessionReply {
-        let machine = self.setup.machine.borrow();
+        let control = self.setup.machine.borrow();
+        let machine = &control.configuration;
         let age = self.setup.status.borrow().freshness.age(now);
         // Without a quorum's confirmation the own state may be an old one: a
         // node must not start from it.
@@ -205,7 +204,8 @@
         if self.setup.status.borrow().freshness.as_of.is_none() {
             return;
         }
-        let machine = self.setup.machine.borrow();
+        let control = self.setup.machine.borrow();
+        let machine = &control.configuration;
         let current = machine.revision();
         let mut outbox = self.setup.outbox.borrow_mut();
         for (node, session) in &mut self.sessions {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -175,7 +175,7 @@
     }
 }
 
-/// Intervals, in milliseconds.
+/// Intervals and rates; intervals in milliseconds.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct TimingSettings {
@@ -201,6 +201,9 @@
     pub ledger_retention_ms: u64,
     /// Longest wait for requests under way at a stop.
     pub stop_timeout_ms: u64,
+    /// Rate at which the weight store gives out weights, in megabytes a second;
+    /// loads of models are paced by it.
+    pub weight_store_mb_per_s: f64,
 }
 
 impl Default for TimingSettings {
@@ -217,6 +220,7 @@
             ledger_timeout_ms: 2_000,
             ledger_retention_ms: 3_600_000,
             stop_timeout_ms: 30_000,
+            weight_store_mb_per_s: 1_000.0,
         }
     }
 }
@@ -368,6 +372,9 @@
                 "must be at least 2 session_heartbeat_ms",
             );
         }
+        if self.timing.weight_store_mb_per_s <= 0.0 {
+            return out_of_range("timing.weight_store_mb_per_s", "must be above 0");
+        }
         if self.routing.slot_share <= 0.0 {
             return out_of_range("routing.slot_share", "must be above 0");
         }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -51,7 +51,7 @@
             machines: Vec::new(),
             lags_ms: vec![0, 300, 600],
         }),
-        run_log: None,
+        ..EmulatorConfig::default()
     };
     let emulator = Emulator::start(&config).expect("back ends start");
     let platform = emulator.platform.as_ref().expect("configured");
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -145,11 +145,22 @@
     /// Models that an engine serves.
     #[serde(default)]
     pub models: Vec<String>,
+    /// Whether silversail decides which models the engine holds, by orders;
+    /// `models` is then not used.
+    #[serde(default)]
+    pub managed: bool,
+    /// How many models a managed engine holds at most.
+    #[serde(default = "default_model_slots")]
+    pub model_slots: u32,
     /// Declared intent: send nothing new here.
     #[serde(default)]
     pub drain: bool,
 }
 
+fn default_model_slots() -> u32 {
+    1
+}
+
 fn default_slots() -> u32 {
     8
 }
@@ -163,9 +174,15 @@
     /// Labels of the model.
     #[serde(default)]
     pub labels: Labels,
-    /// Declared number of engines that hold the model.
+    /// Declared number of managed engines that hold the model.
     #[serde(default)]
     pub replicas: u32,
+    /// Which labelled managed engines may hold it.
+    #[serde(default)]
+    pub engines: Selector,
+    /// Size of its weights in megabytes, by which loads are paced.
+    #[serde(default)]
+    pub size_mb: u32,
 }
 
 /// Limits of one tenant over the whole cluster.
@@ -326,7 +343,8 @@
 /// selector.
 pub fn backend_serves(backend: &Backend, stage: &Stage) -> bool {
     let holds_model = match &stage.model {
-        Some(model) => backend.models.contains(model),
+        // What a managed engine holds is known from its reports only.
+        Some(model) => backend.managed || backend.models.contains(model),
         None => true,
     };
     backend.kind == stage.kind.backend_kind()
--- a/crates/model/src/validation.rs
+++ b/crates/model/src/validation.rs
@@ -63,6 +63,8 @@
     }
     for model in configuration.models.values() {
         validate_name(&model.name, "models", &mut errors);
+        let path = format!("models.{}.engines", model.name);
+        validate_selector(&model.engines, &path, &mut errors);
     }
     for tenant in configuration.tenants.values() {
         validate_tenant(tenant, &mut errors);
@@ -108,6 +110,13 @@
             "must be at least 1",
         );
     }
+    if backend.model_slots == 0 {
+        errors.add(
+            ResultCode::ValueOutOfRange,
+            format!("{path}.model_slots"),
+            "must be at least 1",
+        );
+    }
     for (position, model) in backend.models.iter().enumerate() {
         if !configuration.models.contains_key(model) {
             errors.add(
--- a/crates/routing/src/slots.rs
+++ b/crates/routing/src/slots.rs
@@ -24,24 +24,21 @@
 /// Interval after which chance decides anew who uses free slots.
 const BORROW_INTERVAL: Millis = 100;
 
-/// The home node of each slot: slots are numbered over all back ends in the
-/// order of their names and dealt out to the nodes in turn, which every node
-/// works out alike.
+/// The home node of each slot: slots are numbered over all back ends in one
+/// order and dealt out to the nodes in turn, which every node works out alike.
 #[derive(Clone, Debug, Default)]
 pub struct SlotTable {
     first_slot: BTreeMap<BackendName, u32>,
 }
 
 impl SlotTable {
-    /// The table of these back ends and their slots.
+    /// The table of these back ends and their slots, in an order that all nodes
+    /// must give alike.
     pub fn new<'a>(backends: impl Iterator<Item = (&'a BackendName, u32)>) -> Self {
-        let sorted: BTreeMap<BackendName, u32> = backends
-            .map(|(name, slots)| (name.clone(), slots))
-            .collect();
         let mut next: u32 = 0;
         let mut first_slot = BTreeMap::new();
-        for (name, slots) in sorted {
-            first_slot.insert(name, next);
+        for (name, slots) in backends {
+            first_slot.insert(name.clone(), next);
             next = next.wrapping_add(slots);
         }
         Self { first_slot }
--- a/crates/simulation/src/hollow.rs
+++ b/crates/simulation/src/hollow.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use serde_json::json;
 use silversail_consensus::Millis;
-use silversail_control::ChangeRequest;
+use silversail_control::{ChangeRequest, ControlCommand};
 use silversail_model::{ChangeId, ConfigurationDocument, NodeName};
 use silversail_peer::GroupId;
 use stakker::{call, ret_some_do};
@@ -144,8 +144,7 @@
         let answered = done.clone();
         if let Some(node) = &self.world.places[last].node {
             let ret = ret_some_do!(move |_| answered.set(true));
-            let command =
-                postcard::to_stdvec(&request).expect("encoding into memory does not fail");
+            let command = ControlCommand::Change(request).encode();
             call!(
                 [node.proposer],
                 propose(command, Duration::from_secs(5), ret)
@@ -283,8 +282,7 @@
         };
         let from = reachable[reachable.len() - 1];
         if let Some(node) = &self.world.places[from].node {
-            let command =
-                postcard::to_stdvec(&request).expect("encoding into memory does not fail");
+            let command = ControlCommand::Change(request).encode();
             let ret = ret_some_do!(|_| {});
             call!(
                 [node.proposer],
--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -5,7 +5,7 @@
 use crate::disk::{SharedDisk, SimulatedWriter};
 use crate::network::{SharedNetwork, SimulatedTransport};
 use silversail_consensus::{Millis, ReplicaId, StateMachine};
-use silversail_control::ConfigurationState;
+use silversail_control::ControlState;
 use silversail_daemon::clock::Clock;
 use silversail_daemon::metrics::Metrics;
 use silversail_daemon::outbox::{Outbox, SharedOutbox};
@@ -41,7 +41,7 @@
 }
 
 struct Voter {
-    control: ActorOwn<ReplicaActor<ConfigurationState>>,
+    control: ActorOwn<ReplicaActor<ControlState>>,
     ledgers: Vec<ActorOwn<ReplicaActor<LedgerState>>>,
     relay: ActorOwn<RelayActor>,
 }
@@ -213,7 +213,7 @@
 
     fn voter(&mut self) -> Voter {
         let settings = self.parts.settings.clone();
-        let machine = Rc::new(RefCell::new(ConfigurationState::default()));
+        let machine = Rc::new(RefCell::new(ControlState::default()));
         let status = self.statuses.entry(GroupId::Control).or_default().clone();
         let setup = RelaySetup {
             voters: settings.cluster.voters.clone(),
--- a/crates/simulation/src/traffic.rs
+++ b/crates/simulation/src/traffic.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 use serde_json::{json, Value};
 use silversail_consensus::Millis;
-use silversail_control::{ChangeOutcome, ChangeRequest};
+use silversail_control::{ChangeOutcome, ChangeRequest, ControlCommand};
 use silversail_daemon::replica::ProposalOutcome;
 use silversail_daemon::requests::active::CallerRequest;
 use silversail_http::{Responder, ResponsePart, ResponseReader};
@@ -124,7 +124,7 @@
                 .borrow_mut()
                 .push(ChangeAnswer { change_id, outcome });
         });
-        let command = postcard::to_stdvec(&request).expect("encoding into memory does not fail");
+        let command = ControlCommand::Change(request).encode();
         call!([node.proposer], propose(command, CHANGE_TIMEOUT, ret));
         world.wake(position);
     }
--- a/crates/testbed/src/emulate/config.rs
+++ b/crates/testbed/src/emulate/config.rs
@@ -1,5 +1,6 @@
 //! What is emulated.
 
+use super::weights::WeightStoreConfig;
 use serde::Deserialize;
 use std::path::PathBuf;
 
@@ -19,6 +20,9 @@
     /// Members of pools, and plain services.
     #[serde(default)]
     pub services: Vec<ServiceConfig>,
+    /// The weight store, for managed engines.
+    #[serde(default)]
+    pub weight_store: Option<WeightStoreConfig>,
     /// The platform's list.
     #[serde(default)]
     pub platform: Option<PlatformConfig>,
@@ -45,6 +49,13 @@
     /// Tokens of prompts that the prefix cache holds.
     #[serde(default = "default_cache_tokens")]
     pub cache_tokens: u32,
+    /// Whether the engine starts without models and takes orders to load them;
+    /// else it serves any model.
+    #[serde(default)]
+    pub managed: bool,
+    /// Whether it refuses orders with an older fence.
+    #[serde(default)]
+    pub checks_fence: bool,
     /// How old a load report is, in milliseconds.
     #[serde(default = "default_load_lag_ms")]
     pub load_lag_ms: u64,
--- a/crates/testbed/src/emulate/engine.rs
+++ b/crates/testbed/src/emulate/engine.rs
@@ -3,6 +3,7 @@
 
 use super::config::EngineConfig;
 use super::faults::{FaultMode, Faults};
+use super::weights::{ModelHolder, OrderBody};
 use serde::Deserialize;
 use serde_json::json;
 use silversail_http::{Handler, RejectReason, Request, Responder, ResponseHead};
@@ -80,16 +81,24 @@
     config: EngineConfig,
     faults: Arc<Faults>,
     state: Arc<Mutex<State>>,
+    models: Option<ModelHolder>,
 }
 
 impl EngineHandler {
-    /// Starts the engine's steps on `runtime`.
-    pub fn start(config: EngineConfig, faults: Arc<Faults>, runtime: &Handle) -> Self {
+    /// Starts the engine's steps on `runtime`. An engine without `models` serves
+    /// any.
+    pub fn start(
+        config: EngineConfig,
+        faults: Arc<Faults>,
+        models: Option<ModelHolder>,
+        runtime: &Handle,
+    ) -> Self {
         let state = Arc::new(Mutex::new(State::default()));
         let handler = Self {
             config: config.clone(),
             faults: faults.clone(),
             state: state.clone(),
+            models,
         };
         runtime.spawn(async move {
             loop {
@@ -105,6 +114,11 @@
             responder.respond(ResponseHead::new(400, JSON), b"{}".to_vec());
             return;
         };
+        let held = self.models.as_ref().map(ModelHolder::held);
+        if held.is_some_and(|held| !held.contains(&body.model)) {
+            responder.respond(ResponseHead::new(404, JSON), b"{}".to_vec());
+            return;
+        }
         match self.faults.mode() {
             FaultMode::Refuse => {
                 responder.respond(ResponseHead::new(503, JSON), b"{}".to_vec());
@@ -153,10 +167,24 @@
             .rev()
             .find(|(at, _, _)| at.elapsed() >= lag)
             .map_or((0, 0), |(_, running, waiting)| (*running, *waiting));
-        let body = json!({ "running": running, "waiting": waiting }).to_string();
+        let models = self
+            .models
+            .as_ref()
+            .map(ModelHolder::held)
+            .unwrap_or_default();
+        let body = json!({ "running": running, "waiting": waiting, "models": models }).to_string();
         responder.respond(ResponseHead::new(200, JSON), body.into_bytes());
     }
 
+    fn order(&self, request: Request, responder: Responder) {
+        let body = serde_json::from_slice::<OrderBody>(&request.body);
+        let status = match (&self.models, body) {
+            (Some(models), Ok(body)) => models.order(&body),
+            _ => 400,
+        };
+        responder.respond(ResponseHead::new(status, JSON), b"{}".to_vec());
+    }
+
     fn cancel(&self, request: Request, responder: Responder) {
         if let Ok(body) = serde_json::from_slice::<CancelBody>(&request.body) {
             let mut state = self.state.lock().expect("not poisoned");
@@ -171,6 +199,7 @@
         match request.path.as_str() {
             "/v1/completions" => self.complete(request, responder),
             "/v1/load" => self.load(responder),
+            "/v1/orders" => self.order(request, responder),
             "/v1/cancel" => self.cancel(request, responder),
             _ => responder.respond(ResponseHead::new(404, JSON), b"{}".to_vec()),
         }
--- a/crates/testbed/src/emulate/mod.rs
+++ b/crates/testbed/src/emulate/mod.rs
@@ -7,11 +7,13 @@
 pub mod platform;
 pub mod run_log;
 pub mod service;
+pub mod weights;
 
 pub use config::{EmulatorConfig, EngineConfig, PlatformConfig, ServiceConfig};
 pub use faults::{FaultMode, Faults};
 pub use platform::PlatformHandle;
 pub use run_log::RunLog;
+pub use weights::{OrderLog, OrderRecord, WeightStoreConfig};
 
 use silversail_http::{Handler, HttpServer, HttpServerConfig};
 use std::collections::BTreeMap;
@@ -19,6 +21,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::runtime::Runtime;
+use weights::{ModelHolder, WeightStore};
 
 /// Running emulated back ends; dropped, they stop.
 pub struct Emulator {
@@ -30,6 +33,8 @@
     pub run_log: Arc<RunLog>,
     /// The platform's list.
     pub platform: Option<PlatformHandle>,
+    /// Orders that engines got.
+    pub orders: Arc<OrderLog>,
     servers: Vec<HttpServer>,
     runtime: Option<Runtime>,
 }
@@ -48,12 +53,23 @@
             faults: BTreeMap::new(),
             run_log,
             platform: None,
+            orders: Arc::default(),
             servers: Vec::new(),
             runtime: None,
         };
+        let store = config
+            .weight_store
+            .clone()
+            .map(WeightStore::new)
+            .map(Arc::new);
         for engine in &config.engines {
             let faults = emulator.add_faults(&engine.name);
-            let handler = engine::EngineHandler::start(engine.clone(), faults, runtime.handle());
+            let models = engine.managed.then(|| {
+                let log = emulator.orders.clone();
+                ModelHolder::new(&engine.name, engine.checks_fence, store.clone(), log)
+            });
+            let handler =
+                engine::EngineHandler::start(engine.clone(), faults, models, runtime.handle());
             emulator.serve(&engine.name, &engine.address, Arc::new(handler))?;
         }
         for service in &config.services {
