Admit each tenant by its own share, and believe free slots for 300 ms only

And polls of 20 engines had become one in a second, so that nodes borrowed slots that others had long taken.

Change: a tenant's expected wait is that behind all admitted work or that behind its own work at its share of the capacity, whichever is less; slots reported free are believed for 300 ms; up to 32 engines are polled 80 times a second in all, more 20 times.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -6,7 +6,7 @@
 use crate::metrics::Metrics;
 use crate::orders::{OrderActor, OrderSetup};
 use crate::outbox::{Outbox, SharedOutbox};
-use crate::pollers::{start_load_pollers, start_platform_poller, EngineTargets};
+use crate::pollers::{start_load_pollers, start_platform_poller, EngineTargets, FEW_ENGINES};
 use crate::replica::{
     GroupStatus, ProposalOutcome, ProposerActor, ReplicaActor, ReplicaSetup, SharedStatus,
     StorageWriter,
@@ -43,8 +43,6 @@
 const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Most events taken in one go, so that timers are not kept waiting.
 const EVENTS_PER_TURN: usize = 256;
-/// Up to so many engines a process asks all of them for their loads.
-const FEW_ENGINES: usize = 64;
 /// Longest wait for a change to be committed.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(6);
 
--- a/crates/daemon/src/pollers.rs
+++ b/crates/daemon/src/pollers.rs
@@ -12,8 +12,12 @@
 
 /// Threads that share the engines.
 const LOAD_THREADS: usize = 4;
-/// Most loads that a process asks for in a second. More engines are asked less
-/// often each, so that the cost to a node does not grow with the cluster.
+/// Up to so many engines a process asks all of them for their loads.
+pub const FEW_ENGINES: usize = 32;
+/// Most loads that a process asks for in a second where engines are few.
+const POLLS_PER_SECOND_OF_FEW: u32 = 80;
+/// Most loads that a process asks for in a second else: more engines are asked
+/// less often each, so that the cost to a node does not grow with the cluster.
 const POLLS_PER_SECOND: u32 = 20;
 
 /// Starts asking engines for their loads.
@@ -50,7 +54,11 @@
 /// Shortest time of a round over all targets.
 fn round_time(targets: &EngineTargets) -> Duration {
     let count = targets.lock().map_or(0, |targets| targets.len());
-    Duration::from_secs(count as u64) / POLLS_PER_SECOND
+    let polls_per_second = match count <= FEW_ENGINES {
+        true => POLLS_PER_SECOND_OF_FEW,
+        false => POLLS_PER_SECOND,
+    };
+    Duration::from_secs(count as u64) / polls_per_second
 }
 
 /// Starts reading the platform's list.
--- a/crates/daemon/src/requests/admit.rs
+++ b/crates/daemon/src/requests/admit.rs
@@ -97,13 +97,15 @@
 
     fn check_expected_finish(&mut self, cx: CX![], number: RequestNumber) -> Result<(), Refusal> {
         let estimates = self.estimate(number);
-        let remaining = match self.requests.get(&number) {
-            Some(request) => request.deadline.saturating_duration_since(cx.now()),
-            None => return Ok(()),
+        let Some(request) = self.requests.get_mut(&number) else {
+            return Ok(());
         };
+        let remaining = request.deadline.saturating_duration_since(cx.now());
+        let remaining_ms = remaining.as_secs_f64() * 1_000.0;
+        let (tenant, weight) = (&request.tenant, request.weight);
         let decision = self
             .admission
-            .decide(&estimates, remaining.as_secs_f64() * 1_000.0);
+            .decide(tenant, weight, &estimates, remaining_ms);
         match decision {
             AdmissionDecision::NoCapacity => {
                 let message = "no back end may serve a stage";
@@ -121,11 +123,9 @@
             AdmissionDecision::Refuse { .. } | AdmissionDecision::Admit => {}
         }
         for estimate in &estimates {
-            self.admission.add(*estimate);
-        }
-        if let Some(request) = self.requests.get_mut(&number) {
-            request.estimates = estimates;
+            self.admission.add(tenant, weight, *estimate);
         }
+        request.estimates = estimates;
         Ok(())
     }
 
--- a/crates/daemon/src/requests/finish.rs
+++ b/crates/daemon/src/requests/finish.rs
@@ -237,12 +237,11 @@
 
     /// Takes the request's remaining work off the admitted work.
     pub(crate) fn release_estimates(&mut self, number: RequestNumber) {
-        let estimates = match self.requests.get_mut(&number) {
-            Some(request) => std::mem::take(&mut request.estimates),
-            None => return,
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
         };
-        for estimate in estimates {
-            self.admission.remove(estimate);
+        for estimate in std::mem::take(&mut request.estimates) {
+            self.admission.remove(&request.tenant, estimate);
         }
     }
 
--- a/crates/daemon/src/requests/outcome.rs
+++ b/crates/daemon/src/requests/outcome.rs
@@ -93,7 +93,7 @@
         }
         let is_last = request.stage == pipeline.stages.len();
         if let Some(estimate) = estimate {
-            self.admission.remove(estimate);
+            self.admission.remove(&tenant, estimate);
         }
         let service_ms = service.as_secs_f64() * 1_000.0;
         self.pools
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -2,8 +2,13 @@
 //! before any stage has cost anything.
 
 use crate::queue::PoolId;
+use silversail_model::TenantName;
 use std::collections::HashMap;
 
+/// Work below which a tenant has none, in milliseconds: sums of many numbers
+/// don't come back to zero exactly.
+const NO_WORK_MS: f64 = 0.001;
+
 /// One stage of a request to be admitted.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StageEstimate {
@@ -13,14 +18,49 @@
     pub service_ms: f64,
 }
 
-/// Admitted work and capacity of one pool, as this node sees them.
+/// Admitted work of one tenant at a pool.
 #[derive(Clone, Copy, Debug, Default)]
+struct TenantWork {
+    pending_ms: f64,
+    weight: u32,
+}
+
+/// Admitted work and capacity of one pool, as this node sees them.
+#[derive(Clone, Debug, Default)]
 pub struct PoolLoad {
+    /// Calls that this node may have in flight at the pool.
+    capacity: u32,
     /// Expected service time of all admitted stages that have not ended, in
     /// milliseconds.
-    pub pending_ms: f64,
-    /// Calls that this node may have in flight at the pool.
-    pub capacity: u32,
+    pending_ms: f64,
+    by_tenant: HashMap<TenantName, TenantWork>,
+}
+
+impl PoolLoad {
+    /// Expected wait of a tenant's next stage, in milliseconds. The queue is
+    /// fair: however much others have waiting, the tenant gets its share of the
+    /// capacity for its own work.
+    fn wait_ms(&self, tenant: &TenantName, weight: u32, service_ms: f64) -> f64 {
+        let capacity = f64::from(self.capacity.max(1));
+        // What fits side by side does not wait.
+        let beside = (capacity - 1.0) * service_ms;
+        let behind_all = (self.pending_ms - beside).max(0.0) / capacity;
+        let own = self
+            .by_tenant
+            .get(tenant)
+            .map_or(0.0, |work| work.pending_ms);
+        let others: u32 = self
+            .by_tenant
+            .iter()
+            .filter(|(name, work)| *name != tenant && work.pending_ms > 0.0)
+            .map(|(_, work)| work.weight)
+            .sum();
+        let weight = f64::from(weight.max(1));
+        let share = capacity * weight / (weight + f64::from(others));
+        // A call of another tenant that has begun is not interrupted.
+        let behind_own = own / share + service_ms / capacity;
+        behind_all.min(behind_own)
+    }
 }
 
 /// The answer to an admission.
@@ -53,18 +93,20 @@
     ///
     /// Stages of one request follow each other, while stages of different
     /// requests overlap; so the wait is that of the fullest pool, not the sum.
-    pub fn decide(&self, stages: &[StageEstimate], remaining_ms: f64) -> AdmissionDecision {
+    pub fn decide(
+        &self,
+        tenant: &TenantName,
+        weight: u32,
+        stages: &[StageEstimate],
+        remaining_ms: f64,
+    ) -> AdmissionDecision {
         let service: f64 = stages.iter().map(|stage| stage.service_ms).sum();
         let mut wait: f64 = 0.0;
         for stage in stages {
-            let load = self.pools.get(&stage.pool).copied().unwrap_or_default();
-            if load.capacity == 0 {
+            let Some(load) = self.pools.get(&stage.pool).filter(|load| load.capacity > 0) else {
                 return AdmissionDecision::NoCapacity;
-            }
-            let capacity = f64::from(load.capacity);
-            // What fits side by side does not wait.
-            let excess = load.pending_ms - (capacity - 1.0) * stage.service_ms;
-            wait = wait.max(excess.max(0.0) / capacity);
+            };
+            wait = wait.max(load.wait_ms(tenant, weight, stage.service_ms));
         }
         let expected = service + wait;
         if expected <= remaining_ms {
@@ -76,19 +118,26 @@
     }
 
     /// Adds an admitted stage's work.
-    pub fn add(&mut self, stage: StageEstimate) {
-        self.pools.entry(stage.pool).or_default().pending_ms += stage.service_ms;
+    pub fn add(&mut self, tenant: &TenantName, weight: u32, stage: StageEstimate) {
+        let load = self.pools.entry(stage.pool).or_default();
+        load.pending_ms += stage.service_ms;
+        let work = load.by_tenant.entry(tenant.clone()).or_default();
+        work.pending_ms += stage.service_ms;
+        work.weight = weight;
     }
 
     /// Takes off the work of a stage that ended or will not run.
-    pub fn remove(&mut self, stage: StageEstimate) {
-        if let Some(load) = self.pools.get_mut(&stage.pool) {
-            load.pending_ms = (load.pending_ms - stage.service_ms).max(0.0);
+    pub fn remove(&mut self, tenant: &TenantName, stage: StageEstimate) {
+        let Some(load) = self.pools.get_mut(&stage.pool) else {
+            return;
+        };
+        load.pending_ms = (load.pending_ms - stage.service_ms).max(0.0);
+        let Some(work) = load.by_tenant.get_mut(tenant) else {
+            return;
+        };
+        work.pending_ms -= stage.service_ms;
+        if work.pending_ms < NO_WORK_MS {
+            load.by_tenant.remove(tenant);
         }
     }
-
-    /// The load of a pool.
-    pub fn load(&self, pool: PoolId) -> PoolLoad {
-        self.pools.get(&pool).copied().unwrap_or_default()
-    }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod retry;
 pub mod slots;
 
-pub use admission::{Admission, AdmissionDecision, PoolLoad, StageEstimate};
+pub use admission::{Admission, AdmissionDecision, StageEstimate};
 pub use average::MovingAverage;
 pub use limits::{node_share, LimitViolation, TenantLimiter};
 pub use placement::{BackendLoad, Candidate, PlacementPolicy, Placer};
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -13,6 +13,9 @@
 const EJECT_FOR: Millis = 2_000;
 /// A load report older than this says nothing, in milliseconds.
 const REPORT_VALID_FOR: Millis = 3_000;
+/// Slots that a report says are free are believed for so long, in milliseconds:
+/// other nodes may have taken them.
+const FREE_SLOTS_VALID_FOR: Millis = 300;
 /// A measured service time older than this is doubted: the back end may have
 /// become as fast as the others, which nobody sees while it gets no calls.
 const SERVICE_TIME_VALID_FOR: Millis = 3_000;
@@ -108,7 +111,7 @@
     /// own calls since.
     pub fn reported_free(&self, slots: u32, now: Millis) -> Option<u32> {
         let (_, at) = self.reported?;
-        let is_recent = now.saturating_sub(at) < REPORT_VALID_FOR;
+        let is_recent = now.saturating_sub(at) < FREE_SLOTS_VALID_FOR;
         is_recent.then(|| slots.saturating_sub(self.believed_load(now)))
     }
 
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -101,25 +101,55 @@
             service_ms: 200.0,
         },
     ];
+    let tenant = TenantName::from("a");
     let mut admitted = 0;
-    while admission.decide(&stages, 1_000.0) == AdmissionDecision::Admit {
-        stages.iter().for_each(|stage| admission.add(*stage));
+    while admission.decide(&tenant, 1, &stages, 1_000.0) == AdmissionDecision::Admit {
+        stages
+            .iter()
+            .for_each(|stage| admission.add(&tenant, 1, *stage));
         admitted += 1;
         assert!(admitted < 100);
     }
     // 790 ms of waiting at four side by side, and what runs at once.
     assert!((16..=20).contains(&admitted), "{admitted}");
     assert!(matches!(
-        admission.decide(&stages, 1_000.0),
+        admission.decide(&tenant, 1, &stages, 1_000.0),
         AdmissionDecision::Refuse { retry_after_ms } if retry_after_ms <= 100
     ));
-    stages.iter().for_each(|stage| admission.remove(*stage));
-    assert_eq!(admission.decide(&stages, 1_000.0), AdmissionDecision::Admit);
+    stages
+        .iter()
+        .for_each(|stage| admission.remove(&tenant, *stage));
+    let decision = admission.decide(&tenant, 1, &stages, 1_000.0);
+    assert_eq!(decision, AdmissionDecision::Admit);
     admission.set_capacity(POOL, 0);
+    let decision = admission.decide(&tenant, 1, &stages, 1_000.0);
+    assert_eq!(decision, AdmissionDecision::NoCapacity);
+}
+
+#[test]
+fn a_flooding_tenant_does_not_get_others_refused() {
+    let mut admission = Admission::default();
+    admission.set_capacity(POOL, 4);
+    let stage = StageEstimate {
+        pool: POOL,
+        service_ms: 200.0,
+    };
+    let (large, small) = (TenantName::from("large"), TenantName::from("small"));
+    while admission.decide(&large, 1, &[stage], 1_000.0) == AdmissionDecision::Admit {
+        admission.add(&large, 1, stage);
+    }
     assert_eq!(
-        admission.decide(&stages, 1_000.0),
-        AdmissionDecision::NoCapacity
+        admission.decide(&small, 1, &[stage], 1_000.0),
+        AdmissionDecision::Admit
     );
+    // Its own share is limited all the same.
+    let mut admitted = 0;
+    while admission.decide(&small, 1, &[stage], 1_000.0) == AdmissionDecision::Admit {
+        admission.add(&small, 1, stage);
+        admitted += 1;
+        assert!(admitted < 100);
+    }
+    assert!((6..=9).contains(&admitted), "{admitted}");
 }
 
 fn choose(placer: &mut Placer, loads: &[BackendLoad], now: u64) -> Vec<usize> {
--- a/crates/simulation/src/calls.rs
+++ b/crates/simulation/src/calls.rs
@@ -65,6 +65,7 @@
         }
         desk.runs.borrow_mut().push(RunRecord {
             service: call.address.clone(),
+            stage: call.stage.clone(),
             attempt: call.attempt.clone(),
             input: call.input.clone(),
         });
--- a/crates/simulation/src/traffic.rs
+++ b/crates/simulation/src/traffic.rs
@@ -217,6 +217,7 @@
         for call in std::mem::take(&mut self.open) {
             self.calls.push(CallRecord {
                 key: call.key,
+                pipeline: "open-barrier".into(),
                 outcome: None,
                 code: None,
                 output: None,
@@ -236,6 +237,7 @@
         }
         self.calls.push(CallRecord {
             key: call.key,
+            pipeline: "open-barrier".into(),
             outcome: body["outcome"].as_str().map(str::to_owned),
             code: body["code"].as_u64().map(|code| code as u16),
             output: body.get("output").cloned(),
--- /dev/null
+++ b/crates/testbed/examples/fleets.rs
@@ -0,0 +1,165 @@
+//! Both users' fleets with real processes, without and with faults: a burst at
+//! the start, then a kill, a cut or a freeze each 20 s; what the checker says:
+//! `cargo run --release -p silversail-testbed --example fleets -- [SECONDS]`,
+//! seconds of each of the four runs.
+
+use serde_json::{json, Value};
+use silversail_testbed::emulate::EmulatorConfig;
+use silversail_testbed::load::run;
+use silversail_testbed::{
+    check, CallRecord, Cluster, ClusterOptions, Emulator, LinkFault, LoadPlan, LoadReport,
+    Violation,
+};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const NODES: usize = 9;
+const VOTERS: usize = 5;
+const FAULT_EVERY: Duration = Duration::from_secs(20);
+const FAULT_LASTS: Duration = Duration::from_secs(6);
+/// Pipelines whose last stages are services with a run log.
+const LOGGED: [&str; 2] = ["barrier-open", "subset"];
+
+fn read<T: serde::de::DeserializeOwned>(path: &Path) -> T {
+    let text = std::fs::read_to_string(path).expect("the file can be read");
+    serde_yaml_ng::from_str(&text).expect("the file is valid")
+}
+
+fn binary() -> PathBuf {
+    let example = std::env::current_exe().expect("a path");
+    let folder = example
+        .parent()
+        .and_then(Path::parent)
+        .expect("a target folder");
+    folder.join("silversaild")
+}
+
+fn main() {
+    let seconds: u64 = std::env::args()
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(150);
+    println!("| fleet | faults | requests | attainment | worst tenant | answers by reason | cost by stage, ms per answer in time | violations |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for fleet in ["car-park", "quillmark"] {
+        for faults in [false, true] {
+            run_fleet(fleet, seconds, faults);
+        }
+    }
+}
+
+fn run_fleet(fleet: &str, seconds: u64, faults: bool) {
+    let folder = Path::new("examples").join(fleet);
+    let config: EmulatorConfig = read(&folder.join("backends.yaml"));
+    let document: Value = read(&folder.join("pipelines.yaml"));
+    let mut plan: LoadPlan = read(&folder.join("load.yaml"));
+    plan.duration_ms = seconds * 1_000;
+    plan.keyed = true;
+    plan.attempts = 2;
+    let emulator = Emulator::start(&config).expect("back ends start");
+    let mut options = ClusterOptions::new(NODES, VOTERS);
+    options.proxied = true;
+    options.settings = json!({ "log": { "level": "warn" } });
+    let mut cluster = Cluster::start(&binary(), &options).expect("processes start");
+    assert!(cluster.wait_until_serving());
+    let (status, answer) = cluster.change(0, "fleet", 0, document).expect("an answer");
+    assert_eq!(status, 200, "{answer}");
+    assert!(cluster.wait_for_revision(1) && cluster.wait_for_usable(NODES));
+    let addresses = cluster.nodes.iter().map(|node| node.callers).collect();
+    let done = AtomicBool::new(false);
+    let report = thread::scope(|scope| {
+        let load = scope.spawn(|| run(&plan, addresses));
+        let done = &done;
+        if faults {
+            let cluster = &mut cluster;
+            scope.spawn(move || disturb(cluster, done));
+        }
+        let report = load.join().expect("joined");
+        done.store(true, Ordering::Relaxed);
+        report
+    });
+    print_row(fleet, faults, &report, &emulator);
+}
+
+/// A fault each 20 s: a kill, a silent cut, a freeze, of one process after
+/// another.
+fn disturb(cluster: &mut Cluster, done: &AtomicBool) {
+    let mut step = 0;
+    while wait(FAULT_EVERY, done) {
+        // Steps of 2 over 9 processes reach all, voters and others in turn.
+        let position = (step * 2) % NODES;
+        match step % 3 {
+            0 => cluster.kill(position),
+            1 => cluster.set_all_links(position, LinkFault::silent()),
+            _ => cluster.freeze(position),
+        }
+        thread::sleep(FAULT_LASTS);
+        match step % 3 {
+            0 => cluster.spawn(position).expect("started"),
+            1 => cluster.set_all_links(position, LinkFault::default()),
+            _ => cluster.thaw(position),
+        }
+        step += 1;
+    }
+}
+
+/// Waits; false when the load has ended.
+fn wait(time: Duration, done: &AtomicBool) -> bool {
+    let started = Instant::now();
+    while started.elapsed() < time {
+        if done.load(Ordering::Relaxed) {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    true
+}
+
+fn print_row(fleet: &str, faults: bool, report: &LoadReport, emulator: &Emulator) {
+    let runs = emulator.run_log.records();
+    let is_logged = |call: &&CallRecord| LOGGED.contains(&call.pipeline.as_str());
+    let logged: Vec<CallRecord> = report.records.iter().filter(is_logged).cloned().collect();
+    let others: Vec<CallRecord> = report
+        .records
+        .iter()
+        .filter(|call| !is_logged(call))
+        .cloned()
+        .collect();
+    let mut violations = check(&logged, &runs);
+    violations.extend(check(&others, &[]));
+    let lost = violations
+        .iter()
+        .filter(|one| matches!(one, Violation::Lost { .. }))
+        .count();
+    violations.retain(|one| !matches!(one, Violation::Lost { .. }));
+    let worst = report
+        .attainment_by_tenant
+        .values()
+        .copied()
+        .fold(1.0, f64::min);
+    let in_time = report.in_time.max(1) as f64;
+    let costs: Vec<String> = report
+        .cost_ms_by_stage
+        .iter()
+        .map(|(stage, cost)| format!("{stage} {:.1}", cost / in_time))
+        .collect();
+    let reasons: Vec<String> = report
+        .by_reason
+        .iter()
+        .map(|(reason, count)| format!("{reason} {count}"))
+        .collect();
+    println!(
+        "| {fleet} | {} | {} | {:.4} | {worst:.3} | {} | {} | {} of what must hold; {lost} calls without any answer |",
+        if faults { "kill, cut or freeze each 20 s" } else { "none" },
+        report.sent,
+        report.attainment,
+        reasons.join(", "),
+        costs.join(", "),
+        violations.len(),
+    );
+    for violation in violations {
+        eprintln!("{violation:?}");
+    }
+}
--- a/crates/testbed/src/caller.rs
+++ b/crates/testbed/src/caller.rs
@@ -82,6 +82,7 @@
     pub fn record(&self, options: &CallOptions) -> CallRecord {
         CallRecord {
             key: options.key.clone(),
+            pipeline: options.pipeline.clone(),
             outcome: self.outcome().map(str::to_owned),
             code: self.code().map(|code| code as u16),
             output: self.body.get("output").cloned(),
--- a/crates/testbed/src/checker.rs
+++ b/crates/testbed/src/checker.rs
@@ -6,7 +6,7 @@
 /// Something that must never happen.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Violation {
-    /// A key ran more than once.
+    /// A stage of a key ran more than once.
     Doubled {
         /// The key.
         key: String,
@@ -59,12 +59,18 @@
 /// where `runs` is empty, of any.
 pub fn check(calls: &[CallRecord], runs: &[RunRecord]) -> Vec<Violation> {
     let mut violations = BTreeSet::new();
-    let mut run_counts: BTreeMap<&str, usize> = BTreeMap::new();
+    // Runs by key and stage: each stage of a request runs once.
+    let mut stage_runs: BTreeMap<(&str, &str), usize> = BTreeMap::new();
     for run in runs {
         if let Some(key) = run.key() {
-            *run_counts.entry(key).or_default() += 1;
+            *stage_runs.entry((key, &run.stage)).or_default() += 1;
         }
     }
+    let mut run_counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for ((key, _), runs) in &stage_runs {
+        let most = run_counts.entry(key).or_default();
+        *most = (*most).max(*runs);
+    }
     for (key, runs) in &run_counts {
         if *runs > 1 {
             let key = (*key).to_owned();
--- a/crates/testbed/src/emulate/service.rs
+++ b/crates/testbed/src/emulate/service.rs
@@ -92,6 +92,7 @@
         if self.config.logged {
             self.log.add(RunRecord {
                 service: self.config.name.clone(),
+                stage: body.stage.clone(),
                 attempt: body.attempt.clone(),
                 input: body.input.clone(),
             });
--- a/crates/testbed/src/history.rs
+++ b/crates/testbed/src/history.rs
@@ -8,6 +8,9 @@
 pub struct CallRecord {
     /// The call's identity, also carried in its input as `key`.
     pub key: String,
+    /// The pipeline.
+    #[serde(default)]
+    pub pipeline: String,
     /// The outcome that the caller was told; none where no whole answer came.
     pub outcome: Option<String>,
     /// The numbered code.
@@ -27,6 +30,9 @@
 pub struct RunRecord {
     /// The service.
     pub service: String,
+    /// The stage.
+    #[serde(default)]
+    pub stage: String,
     /// The attempt.
     pub attempt: String,
     /// The request's input.
--- a/crates/testbed/tests/checker.rs
+++ b/crates/testbed/tests/checker.rs
@@ -8,6 +8,7 @@
 fn call(key: &str, outcome: &str) -> CallRecord {
     CallRecord {
         key: key.into(),
+        pipeline: "open".into(),
         outcome: Some(outcome.into()),
         code: None,
         output: (outcome == "completed").then(|| json!({ "input": { "key": key } })),
@@ -19,6 +20,7 @@
 fn run(key: &str) -> RunRecord {
     RunRecord {
         service: "gate".into(),
+        stage: "open".into(),
         attempt: "a".into(),
         input: json!({ "key": key }),
     }
@@ -50,6 +52,15 @@
     );
 }
 
+#[test]
+fn two_stages_of_one_request_are_no_double() {
+    let bill = RunRecord {
+        stage: "bill".into(),
+        ..run("k")
+    };
+    assert_eq!(check(&[call("k", "completed")], &[run("k"), bill]), []);
+}
+
 #[test]
 fn an_untrue_refusal_is_found_unless_the_caller_retried_after_it() {
     let refused = call("k", "not_run");
