Wire real and simulated nodes alike, and crash disks in the middle of writes

Change: one ActorBuilder over a Platform (disks, calls, seeds); the process split into start, events, operators' answers and errors. The simulation makes disks slow (up to 150 ms a sync) and crashes voters with writes under way, to start them again within 60 ms.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! and threads. One thread runs all actors; other threads talk to it through
 //! [`event::Event`].
 
+pub mod actors;
 pub mod calls;
 pub mod clock;
 pub mod event;
--- /dev/null
+++ b/crates/daemon/src/node/mod.rs
@@ -0,0 +1,213 @@
+//! One process: its main loop and what it does with each event.
+
+mod errors;
+mod operators;
+mod start;
+
+pub use errors::NodeError;
+
+use crate::actors::NodeActors;
+use crate::clock::Clock;
+use crate::event::Event;
+use crate::metrics::Metrics;
+use crate::pollers::{EngineTargets, FEW_ENGINES};
+use crate::session::SharedNodeState;
+use crate::settings::Settings;
+use crate::stop::{StopActor, StopSetup};
+use crate::surface::entry_points::{self, EntryPointSettings};
+use silversail_backend::EngineLoad;
+use silversail_control::ViewVersion;
+use silversail_http::HttpServer;
+use silversail_model::{Backend, BackendKind, BackendName, ResultCode};
+use silversail_peer::GroupId;
+use silversail_routing::SlotTable;
+use silversail_storage::{FolderLock, StorageError};
+use stakker::{actor, call, ret_nop, ActorOwn, Stakker};
+use std::rc::Rc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Longest wait of the main loop without an event.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Most events taken in one go, so that timers are not kept waiting.
+const EVENTS_PER_TURN: usize = 256;
+
+/// A running process.
+pub struct Node {
+    settings: Arc<Settings>,
+    stakker: Stakker,
+    events: Receiver<Event>,
+    clock: Clock,
+    incarnation: u64,
+    state: SharedNodeState,
+    metrics: Arc<Metrics>,
+    actors: NodeActors,
+    stop: Option<ActorOwn<StopActor>>,
+    server: Rc<HttpServer>,
+    engine_targets: EngineTargets,
+    /// Configuration revision and view that the load pollers follow.
+    polled_state: Option<(Option<u64>, ViewVersion)>,
+    failure: Option<NodeError>,
+    _lock: Option<FolderLock>,
+}
+
+impl Node {
+    /// Opens the data folder, binds all addresses and starts.
+    pub fn start(settings: Settings) -> Result<Self, NodeError> {
+        start::start(settings)
+    }
+
+    /// Runs until a planned stop has ended, or a write failed.
+    pub fn run(mut self) -> Result<(), NodeError> {
+        loop {
+            let idle = self.stakker.run(Instant::now(), false);
+            if !self.stakker.not_shutdown() {
+                return self.failure.map_or(Ok(()), Err);
+            }
+            self.follow_configuration();
+            let wait = self.stakker.next_wait_max(Instant::now(), MAX_WAIT, idle);
+            match self.events.recv_timeout(wait) {
+                Ok(event) => self.handle_events(event),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+        }
+    }
+
+    fn handle_events(&mut self, first: Event) {
+        // Actors must see the time at which an event is handled, also after
+        // the process was frozen: so time moves on before the events do.
+        self.stakker.run(Instant::now(), false);
+        self.handle(first);
+        for _ in 1..EVENTS_PER_TURN {
+            match self.events.try_recv() {
+                Ok(event) => self.handle(event),
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let requests = self.actors.requests.as_ref();
+        match event {
+            Event::Peer(envelope) => self.actors.deliver(envelope),
+            Event::Synced { group, count } => self.actors.synced(group, count),
+            Event::StorageFailed { group, error } => self.storage_failed(group, error),
+            Event::Caller(request) => {
+                if let Some(requests) = requests {
+                    call!([requests], request(request));
+                }
+            }
+            Event::CallerGone(number) => {
+                if let Some(requests) = requests {
+                    call!([requests], caller_gone(number));
+                }
+            }
+            Event::EntryPoints { zone, responder } => {
+                let now = self.clock.millis(Instant::now());
+                let settings = EntryPointSettings {
+                    freshness_lease: self.settings.timing.freshness_lease_ms,
+                    lifetime: self.settings.timing.entry_point_lifetime_ms,
+                };
+                let state = self.state.borrow();
+                entry_points::answer(&state, &settings, zone.as_deref(), now, responder);
+            }
+            Event::CallEnded {
+                attempt,
+                service,
+                result,
+            } => {
+                if let Some(requests) = requests {
+                    call!([requests], call_ended(attempt, service, result));
+                }
+            }
+            Event::Token {
+                attempt,
+                sequence,
+                text,
+            } => {
+                if let Some(requests) = requests {
+                    call!([requests], token(attempt, sequence, text));
+                }
+            }
+            Event::EngineLoad { backend, load } => self.engine_load(backend, load),
+            Event::OrderSent { id, result } => {
+                if let Some(orders) = &self.actors.orders {
+                    call!([orders], sent(id, result));
+                }
+            }
+            Event::MachineList(list) => {
+                let session = &self.actors.session;
+                call!([session], machine_list(list));
+            }
+            Event::Operator { request, reply } => self.operator(request, reply),
+            Event::Terminate => self.terminate(),
+        }
+    }
+
+    /// What is on the disk is not known after a failed write: the process stops.
+    fn storage_failed(&mut self, group: GroupId, error: StorageError) {
+        log::error!(event = "storage_failed", group = group.to_string().as_str(), code = ResultCode::StorageWrite.number(); "{error}");
+        self.failure = Some(NodeError::new(ResultCode::StorageWrite, error));
+        self.stakker.shutdown(stakker::StopCause::Stopped);
+    }
+
+    fn engine_load(&self, backend: BackendName, load: EngineLoad) {
+        if let Some(orders) = &self.actors.orders {
+            call!([orders], engine_load(backend.clone(), load.clone()));
+        }
+        if let Some(requests) = &self.actors.requests {
+            call!([requests], engine_load(backend, load));
+        }
+    }
+
+    /// Tells the load pollers which engines to ask: all where they are few,
+    /// else those of which this node has home slots.
+    fn follow_configuration(&mut self) {
+        let state = self.state.borrow();
+        let seen = (state.configuration.revision(), state.view.version);
+        if self.polled_state == Some(seen) {
+            return;
+        }
+        self.polled_state = Some(seen);
+        let backends = &state.configuration.configuration().backends;
+        let engines: Vec<&Backend> = backends
+            .values()
+            .filter(|backend| backend.kind == BackendKind::Engine)
+            .collect();
+        let table = SlotTable::new(engines.iter().map(|engine| (&engine.name, engine.slots)));
+        let (nodes, rank) = state.share(&self.settings.node);
+        let is_asked = |engine: &&Backend| {
+            engines.len() <= FEW_ENGINES
+                || table.home_slots(&engine.name, engine.slots, nodes, rank) > 0
+        };
+        let targets = engines
+            .iter()
+            .copied()
+            .filter(is_asked)
+            .map(|engine| (engine.name.clone(), engine.address.clone()))
+            .collect();
+        if let Ok(mut current) = self.engine_targets.lock() {
+            *current = targets;
+        }
+    }
+
+    fn terminate(&mut self) {
+        if self.stop.is_some() {
+            return;
+        }
+        log::info!(event = "stopping"; "planned stop");
+        let setup = StopSetup {
+            node: self.settings.node.clone(),
+            timing: self.settings.timing.clone(),
+            state: self.state.clone(),
+            session: self.actors.session.clone(),
+            metrics: self.metrics.clone(),
+            server: self.server.clone(),
+            hand_over: self.actors.hand_overs(),
+        };
+        let stop = actor!(&mut self.stakker, StopActor::init(setup), ret_nop!());
+        self.stop = Some(stop);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/operators.rs
@@ -0,0 +1,145 @@
+//! Answers to operators.
+
+use super::Node;
+use crate::replica::{GroupStatus, ProposalOutcome};
+use crate::surface::operators::{GroupBody, OperatorReply, OperatorRequest, StatusBody};
+use serde_json::json;
+use silversail_control::{ChangeOutcome, ChangeRequest, ControlCommand};
+use silversail_model::ResultCode;
+use stakker::{call, ret_some_do};
+use std::sync::mpsc::SyncSender;
+use std::time::{Duration, Instant};
+
+/// Longest wait for a change to be committed.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(6);
+
+impl Node {
+    pub(super) fn operator(&mut self, request: OperatorRequest, reply: SyncSender<OperatorReply>) {
+        let answer = match request {
+            OperatorRequest::Configuration => self.configuration(),
+            OperatorRequest::Status => OperatorReply::ok(&self.status()),
+            OperatorRequest::Change(change) => {
+                self.change(change, reply);
+                return;
+            }
+        };
+        // The operator's thread may have stopped waiting.
+        let _ = reply.try_send(answer);
+    }
+
+    fn configuration(&self) -> OperatorReply {
+        let now = self.clock.millis(Instant::now());
+        let state = self.state.borrow();
+        let age = state.freshness.age(now);
+        if !state.is_current(now, self.settings.timing.freshness_lease_ms) {
+            let message = "this node can't confirm that its configuration is current";
+            let details = json!({ "revision": state.configuration.revision(), "age_ms": age });
+            return OperatorReply::refuse(ResultCode::NotCurrent, message, details);
+        }
+        OperatorReply::ok(&json!({
+            "revision": state.configuration.revision(),
+            "age_ms": age,
+            "document": state.configuration.configuration().to_document(),
+        }))
+    }
+
+    fn change(&mut self, change: ChangeRequest, reply: SyncSender<OperatorReply>) {
+        let command = ControlCommand::Change(change).encode();
+        let ret = ret_some_do!(move |outcome: ProposalOutcome| {
+            let _ = reply.try_send(change_reply(outcome));
+        });
+        call!(
+            [self.actors.control_proposer],
+            propose(command, CHANGE_TIMEOUT, ret)
+        );
+    }
+
+    fn status(&self) -> StatusBody {
+        let now = self.clock.millis(Instant::now());
+        let state = self.state.borrow();
+        let groups = self
+            .actors
+            .statuses
+            .iter()
+            .map(|(group, status)| (group.to_string(), group_body(&status.borrow())))
+            .collect();
+        let backends = &state.configuration.configuration().backends;
+        StatusBody {
+            node: self.settings.node.0.clone(),
+            incarnation: self.incarnation,
+            serving: state.is_current(now, self.settings.timing.freshness_lease_ms),
+            stopping: state.stopping,
+            revision: state.configuration.revision(),
+            configuration_age_ms: state.freshness.age(now),
+            open_requests: self.metrics.open_requests.get(),
+            queued_stages: self.metrics.queued_stages.get(),
+            usable_nodes: state
+                .view
+                .usable_nodes()
+                .map(|one| one.node.0.clone())
+                .collect(),
+            leaving_machines: backends
+                .values()
+                .filter(|backend| state.is_leaving(&backend.address))
+                .map(|backend| backend.address.clone())
+                .collect(),
+            groups,
+        }
+    }
+}
+
+fn group_body(status: &GroupStatus) -> GroupBody {
+    GroupBody {
+        formed: status.formed,
+        is_leader: status.is_leader,
+        term: status.term,
+        leader: status.leader.clone(),
+        commit_index: status.commit_index,
+        replica: status.report.clone(),
+    }
+}
+
+fn change_reply(outcome: ProposalOutcome) -> OperatorReply {
+    let outcome = match outcome {
+        ProposalOutcome::Applied(bytes) => postcard::from_bytes(&bytes).ok(),
+        ProposalOutcome::Unavailable => None,
+    };
+    match outcome {
+        Some(ChangeOutcome::Accepted { revision }) => {
+            OperatorReply::ok(&json!({ "revision": revision }))
+        }
+        Some(ChangeOutcome::Conflict { current }) => OperatorReply::refuse(
+            ResultCode::RevisionConflict,
+            "another change was accepted on the base revision",
+            json!({ "current_revision": current }),
+        ),
+        Some(ChangeOutcome::Invalid(errors)) => {
+            let details: Vec<_> = errors
+                .errors
+                .iter()
+                .map(|error| {
+                    json!({
+                        "code": error.code.number(),
+                        "path": error.path,
+                        "message": error.message,
+                    })
+                })
+                .collect();
+            OperatorReply::refuse(
+                ResultCode::InvalidConfiguration,
+                &errors.to_string(),
+                json!({ "errors": details }),
+            )
+        }
+        Some(ChangeOutcome::ChangeIdReused) => OperatorReply::refuse(
+            ResultCode::ChangeIdReused,
+            "the change identifier belongs to another change",
+            json!({}),
+        ),
+        None => OperatorReply::refuse(
+            ResultCode::NoLeader,
+            "no leader answered; resend with the same change identifier",
+            json!({}),
+        ),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/start.rs
@@ -0,0 +1,255 @@
+//! How a process starts: data folder, sockets, actors, surfaces, pollers.
+
+use super::{Node, NodeError};
+use crate::actors::{ActorBuilder, ActorContext, Platform, ReplicaFiles};
+use crate::calls::{CallRunner, Calls, OrderSender};
+use crate::clock::{wall_clock_ms, Clock};
+use crate::event::{Event, EventSender};
+use crate::metrics::Metrics;
+use crate::outbox::{Outbox, SharedOutbox};
+use crate::pollers::{start_load_pollers, start_platform_poller, EngineTargets};
+use crate::replica::StorageWriter;
+use crate::session::SharedNodeState;
+use crate::settings::Settings;
+use crate::surface::callers::CallerHandler;
+use crate::surface::operators;
+use silversail_backend::Agents;
+use silversail_consensus::ReplicaId;
+use silversail_http::{HttpServer, HttpServerConfig};
+use silversail_model::ResultCode;
+use silversail_peer::{Envelope, GroupId, GroupMessage, NngTransport, PeerMessage};
+use silversail_storage::write_queue::WriteNotice;
+use silversail_storage::{FolderLock, ReplicaStore, WriteQueue};
+use stakker::Stakker;
+use std::cell::RefCell;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::mpsc::channel;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Starts a process.
+pub(super) fn start(settings: Settings) -> Result<Node, NodeError> {
+    let settings = Arc::new(settings);
+    let now = Instant::now();
+    let (events, receiver) = channel();
+    let metrics = Arc::new(Metrics::new());
+    let incarnation = wall_clock_ms();
+    let clock = Clock::new(now);
+    let lock = match &settings.data_folder {
+        Some(folder) if settings.is_voter() => Some(FolderLock::acquire(folder)?),
+        _ => None,
+    };
+    let outbox = open_outbox(&settings, &events, &metrics, incarnation)?;
+    let agents = Agents::new();
+    let mut platform = ProcessPlatform {
+        data_folder: settings.data_folder.clone().unwrap_or_default(),
+        events: events.clone(),
+        calls: CallRunner::new(agents.clone(), events.clone()),
+    };
+    let mut stakker = Stakker::new(now);
+    let state = SharedNodeState::default();
+    let context = ActorContext {
+        settings: settings.clone(),
+        outbox,
+        state: state.clone(),
+        metrics: metrics.clone(),
+        clock,
+    };
+    let actors = ActorBuilder::new(&mut stakker, context, &mut platform).build()?;
+    let server = serve_callers(&settings, &events, &metrics)?;
+    serve_operators(&settings, &events, &metrics)?;
+    let engine_targets = start_pollers(&settings, &events, agents);
+    listen_to_signals(events)?;
+    log::info!(event = "started", node = settings.node.as_str(), incarnation = incarnation; "silversaild started");
+    Ok(Node {
+        settings,
+        stakker,
+        events: receiver,
+        clock,
+        incarnation,
+        state,
+        metrics,
+        actors,
+        stop: None,
+        server: Rc::new(server),
+        engine_targets,
+        polled_state: None,
+        failure: None,
+        _lock: lock,
+    })
+}
+
+/// Disks and threads of a real process.
+struct ProcessPlatform {
+    data_folder: PathBuf,
+    events: EventSender,
+    calls: CallRunner,
+}
+
+impl Platform for ProcessPlatform {
+    fn open_replica(&mut self, group: GroupId) -> Result<ReplicaFiles, NodeError> {
+        let folder = self.data_folder.join(group.to_string());
+        let opened = ReplicaStore::open(&folder, || ReplicaId(rand::random()))?;
+        if opened.torn_bytes > 0 {
+            log::warn!(event = "torn_tail", group = group.to_string().as_str(), bytes = opened.torn_bytes; "an unfinished write was cut off the log");
+        }
+        let events = self.events.clone();
+        let notify = move |notice| {
+            let event = match notice {
+                WriteNotice::Synced(count) => Event::Synced { group, count },
+                WriteNotice::Failed(error) => Event::StorageFailed { group, error },
+            };
+            // The main thread is gone only when the process ends.
+            let _ = events.send(event);
+        };
+        let queue = WriteQueue::start(opened.store, notify)
+            .map_err(|error| NodeError::new(ResultCode::DataFolder, error))?;
+        Ok(ReplicaFiles {
+            identity: opened.identity,
+            stored: opened.state,
+            writer: Box::new(StorageWriter(queue)),
+        })
+    }
+
+    fn seed(&mut self) -> u64 {
+        rand::random()
+    }
+
+    fn calls(&self) -> Option<Box<dyn Calls>> {
+        Some(Box::new(self.calls.clone()))
+    }
+
+    fn order_sender(&self) -> Option<Box<dyn OrderSender>> {
+        Some(Box::new(self.calls.clone()))
+    }
+}
+
+fn open_outbox(
+    settings: &Settings,
+    events: &EventSender,
+    metrics: &Arc<Metrics>,
+    incarnation: u64,
+) -> Result<SharedOutbox, NodeError> {
+    let nodes = settings.cluster.nodes.iter();
+    let peers = nodes
+        .filter(|node| node.name != settings.node)
+        .map(|node| (node.name.clone(), node.peer.clone()))
+        .collect();
+    let received = events.clone();
+    let counted = metrics.clone();
+    let receive = move |message: Result<Envelope, _>, bytes: usize| match message {
+        Ok(envelope) => {
+            let kind = message_kind(&envelope.message);
+            counted.peer_received.with_label_values(&[kind]).inc();
+            counted
+                .peer_received_bytes
+                .with_label_values(&[kind])
+                .inc_by(bytes as u64);
+            let _ = received.send(Event::Peer(envelope));
+        }
+        Err(error) => {
+            counted.peer_received.with_label_values(&["rejected"]).inc();
+            log::warn!(event = "peer_message_rejected", code = ResultCode::PeerProtocol.number(); "{error}");
+        }
+    };
+    let cluster = &settings.cluster.name;
+    let transport = NngTransport::start(settings.peer_listen_address(), &peers, cluster, receive)
+        .map_err(|error| NodeError::new(ResultCode::AddressInUse, error))?;
+    let loopback = events.clone();
+    Ok(Rc::new(RefCell::new(Outbox::new(
+        cluster.clone(),
+        settings.node.clone(),
+        incarnation,
+        Box::new(transport),
+        Box::new(move |envelope| {
+            let _ = loopback.send(Event::Peer(envelope));
+        }),
+        metrics.clone(),
+    ))))
+}
+
+fn serve_callers(
+    settings: &Settings,
+    events: &EventSender,
+    metrics: &Arc<Metrics>,
+) -> Result<HttpServer, NodeError> {
+    let limits = &settings.limits;
+    let address = settings.caller_listen_address();
+    let config = HttpServerConfig {
+        max_connections: limits.connections,
+        header_timeout: Duration::from_millis(limits.header_timeout_ms),
+        body_timeout: Duration::from_millis(limits.body_timeout_ms),
+        max_body_bytes: limits.body_bytes,
+        ..HttpServerConfig::on(address)
+    };
+    let handler = CallerHandler::new(events.clone(), metrics.clone());
+    HttpServer::start(config, Arc::new(handler)).map_err(|error| {
+        let message = format!("callers {address}: {error}");
+        NodeError::new(ResultCode::AddressInUse, message)
+    })
+}
+
+fn serve_operators(
+    settings: &Settings,
+    events: &EventSender,
+    metrics: &Arc<Metrics>,
+) -> Result<(), NodeError> {
+    let address = &settings.operators;
+    operators::start(address, events.clone(), metrics.clone())
+        .map(drop)
+        .map_err(|error| {
+            let message = format!("operators {address}: {error}");
+            NodeError::new(ResultCode::AddressInUse, message)
+        })
+}
+
+fn start_pollers(settings: &Settings, events: &EventSender, agents: Agents) -> EngineTargets {
+    let targets = EngineTargets::default();
+    let timing = &settings.timing;
+    start_load_pollers(
+        agents.clone(),
+        targets.clone(),
+        Duration::from_millis(timing.load_poll_ms),
+        events.clone(),
+    );
+    if let Some(platform) = &settings.platform {
+        start_platform_poller(
+            agents,
+            platform.clone(),
+            settings.node.clone(),
+            Duration::from_millis(timing.platform_poll_ms),
+            events.clone(),
+        );
+    }
+    targets
+}
+
+fn listen_to_signals(events: EventSender) -> Result<(), NodeError> {
+    use signal_hook::consts::{SIGINT, SIGTERM};
+    let failed = |error: std::io::Error| NodeError::new(ResultCode::InvalidSettings, error);
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT]).map_err(failed)?;
+    std::thread::Builder::new()
+        .name("signals".into())
+        .spawn(move || {
+            for _ in signals.forever() {
+                if events.send(Event::Terminate).is_err() {
+                    return;
+                }
+            }
+        })
+        .map(drop)
+        .map_err(failed)
+}
+
+/// The label under which a message is counted.
+fn message_kind(message: &PeerMessage) -> &'static str {
+    match message {
+        PeerMessage::Group { message, .. } => match message {
+            GroupMessage::Consensus { .. } => "consensus",
+            GroupMessage::Formation(_) => "formation",
+            GroupMessage::Propose { .. } | GroupMessage::ProposeReply { .. } => "proposal",
+        },
+        PeerMessage::Session(_) => "session",
+    }
+}
--- a/crates/simulation/src/disk.rs
+++ b/crates/simulation/src/disk.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Whether there are writes that are not synced.
+    pub fn has_unsynced(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     /// Loses what was not synced.
     pub fn crash(&mut self) {
         self.pending.clear();
--- a/crates/simulation/src/hollow.rs
+++ b/crates/simulation/src/hollow.rs
@@ -146,7 +146,7 @@
             let ret = ret_some_do!(move |_| answered.set(true));
             let command = ControlCommand::Change(request).encode();
             call!(
-                [node.proposer],
+                [node.actors.control_proposer],
                 propose(command, Duration::from_secs(5), ret)
             );
         }
@@ -285,7 +285,7 @@
             let command = ControlCommand::Change(request).encode();
             let ret = ret_some_do!(|_| {});
             call!(
-                [node.proposer],
+                [node.actors.control_proposer],
                 propose(command, Duration::from_secs(5), ret)
             );
         }
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -3,6 +3,7 @@
 use crate::network::NetworkFaults;
 use crate::traffic::TrafficLog;
 use crate::world::{World, WorldSize};
+use rand::seq::SliceRandom;
 use rand::Rng;
 use silversail_consensus::Millis;
 use silversail_control::ChangeOutcome;
@@ -19,6 +20,13 @@
 /// Longest freeze or cut.
 const LONGEST_OUTAGE: Millis = 8_000;
 
+/// Actions from this number on are faults.
+const FIRST_FAULT: u32 = 75;
+/// Longest time of a sync on a slow disk.
+const LONGEST_SYNC: Millis = 150;
+/// Longest outage of a process that crashes in the middle of a write.
+const SHORT_OUTAGE: Millis = 60;
+
 /// Shares of the faults that happen, by seed: with few of them more requests
 /// get far enough to go wrong late.
 const SEVERITIES: [f64; 3] = [0.1, 0.3, 1.0];
@@ -113,21 +121,23 @@
     fn act(&mut self) {
         let position = self.world.random.gen_range(0..self.world.places.len());
         let action = self.world.random.gen_range(0..100);
-        let is_fault = (80..98).contains(&action);
+        let is_fault = action >= FIRST_FAULT;
         if is_fault && !self.world.random.gen_bool(self.severity) {
             return;
         }
         match action {
-            0..=59 => self.traffic.call(&mut self.world, position),
-            60..=79 => self.traffic.change(&mut self.world, position),
-            80..=83 => self.crash(position),
-            84..=86 => self.freeze(position),
-            87..=89 => self.cut_off(position),
-            90..=91 => self.cut_off_leader(),
-            92 => self.crash_all(),
-            93..=94 => self.empty_disk(),
-            95..=97 => self.change_network(),
-            _ => self.race(),
+            0..=54 => self.traffic.call(&mut self.world, position),
+            55..=72 => self.traffic.change(&mut self.world, position),
+            73..=74 => self.race(),
+            75..=77 => self.crash(position),
+            78..=80 => self.freeze(position),
+            81..=83 => self.cut_off(position),
+            84..=86 => self.cut_off_leader(),
+            87 => self.crash_all(),
+            88..=89 => self.empty_disk(),
+            90..=92 => self.change_network(),
+            93..=94 => self.change_disk(),
+            _ => self.crash_unsynced(),
         }
     }
 
@@ -154,6 +164,34 @@
         self.restarts.push((until, position));
     }
 
+    /// Crashes a process that has writes under way and starts it at once: what
+    /// it has told others must not be more than what it still knows.
+    fn crash_unsynced(&mut self) {
+        let writing: Vec<usize> = (0..self.voters)
+            .filter(|voter| {
+                let place = &self.world.places[*voter];
+                let mut disks = place.parts.disks.values();
+                place.node.is_some() && disks.any(|disk| disk.borrow().has_unsynced())
+            })
+            .collect();
+        let Some(position) = writing.choose(&mut self.world.random).copied() else {
+            return;
+        };
+        self.world.crash(position);
+        self.report.crashes += 1;
+        let until = self.world.now() + self.world.random.gen_range(1..SHORT_OUTAGE);
+        self.restarts.push((until, position));
+    }
+
+    /// Makes one voter's disks faster or slower.
+    fn change_disk(&mut self) {
+        let position = self.world.random.gen_range(0..self.voters);
+        let sync_time = self.world.random.gen_range(1..LONGEST_SYNC);
+        for disk in self.world.places[position].parts.disks.values() {
+            disk.borrow_mut().sync_time = sync_time;
+        }
+    }
+
     fn crash_all(&mut self) {
         for position in 0..self.world.places.len() {
             self.crash(position);
@@ -203,7 +241,7 @@
             let Some(node) = &place.node else {
                 return false;
             };
-            node.statuses.values().all(|status| {
+            node.actors.statuses.values().all(|status| {
                 let status = status.borrow();
                 let report = status.report.as_ref();
                 report.is_some_and(|report| {
--- a/crates/simulation/src/traffic.rs
+++ b/crates/simulation/src/traffic.rs
@@ -125,7 +125,10 @@
                 .push(ChangeAnswer { change_id, outcome });
         });
         let command = ControlCommand::Change(request).encode();
-        call!([node.proposer], propose(command, CHANGE_TIMEOUT, ret));
+        call!(
+            [node.actors.control_proposer],
+            propose(command, CHANGE_TIMEOUT, ret)
+        );
         world.wake(position);
     }
 
@@ -163,7 +166,7 @@
         let Some(node) = &world.places[position].node else {
             return;
         };
-        let Some(requests) = &node.requests else {
+        let Some(requests) = &node.actors.requests else {
             return;
         };
         self.next_number += 1;
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -258,7 +258,7 @@
         if let Some(node) = &mut place.node {
             // Time moves on before the message is handled, as in the daemon.
             node.stakker.run(instant, false);
-            node.deliver(envelope);
+            node.actors.deliver(envelope);
             place.wake_at = self.now;
         }
     }
@@ -277,7 +277,7 @@
         if was_frozen {
             node.stakker.run(instant, false);
             for envelope in std::mem::take(&mut place.frozen_messages) {
-                node.deliver(envelope);
+                node.actors.deliver(envelope);
             }
             place.wake_at = now;
         }
@@ -286,7 +286,7 @@
             disk.set_now(now);
             let synced = disk.finish_syncs();
             if synced > 0 {
-                node.synced(*group, synced);
+                node.actors.synced(*group, synced);
                 place.wake_at = now;
             }
         }
@@ -299,7 +299,7 @@
             due
         };
         for end in ended {
-            if let Some(requests) = &node.requests {
+            if let Some(requests) = &node.actors.requests {
                 let service = Duration::from_millis(10);
                 call!([requests], call_ended(end.attempt, service, end.result));
                 place.wake_at = now;
@@ -353,7 +353,8 @@
         self.places.iter().position(|place| {
             place.frozen_until.is_none()
                 && place.node.as_ref().is_some_and(|node| {
-                    node.statuses
+                    node.actors
+                        .statuses
                         .get(&group)
                         .is_some_and(|status| status.borrow().is_leader)
                 })
--- a/crates/testbed/examples/burst.rs
+++ b/crates/testbed/examples/burst.rs
@@ -4,10 +4,11 @@
 //! `burst`, `slow-stage` or `flood`; all three if none is named.
 
 use serde_json::{json, Value};
+use silversail_testbed::cluster::{program_beside_example, read_yaml};
 use silversail_testbed::emulate::EmulatorConfig;
 use silversail_testbed::load::{run, TenantLoad};
 use silversail_testbed::{Cluster, ClusterOptions, Emulator, LoadPlan};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 const NODES: usize = 10;
@@ -76,20 +77,6 @@
     ]
 }
 
-fn read<T: serde::de::DeserializeOwned>(path: &Path) -> T {
-    let text = std::fs::read_to_string(path).expect("the file can be read");
-    serde_yaml_ng::from_str(&text).expect("the file is valid")
-}
-
-fn binary() -> PathBuf {
-    let example = std::env::current_exe().expect("a path");
-    let folder = example
-        .parent()
-        .and_then(Path::parent)
-        .expect("a target folder");
-    folder.join("silversaild")
-}
-
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let fleet = Path::new("examples").join(arguments.first().map_or("car-park", String::as_str));
@@ -112,13 +99,18 @@
 }
 
 fn run_one(fleet: &Path, scenario: &str, variant: &Variant) {
-    let emulator_config: EmulatorConfig = read(&fleet.join("backends.yaml"));
-    let document: Value = read(&fleet.join("pipelines.yaml"));
-    let mut plan: LoadPlan = read(&fleet.join("load.yaml"));
+    let emulator_config: EmulatorConfig =
+        read_yaml(&fleet.join("backends.yaml")).expect("the file is valid");
+    let document: Value = read_yaml(&fleet.join("pipelines.yaml")).expect("the file is valid");
+    let mut plan: LoadPlan = read_yaml(&fleet.join("load.yaml")).expect("the file is valid");
     let emulator = Emulator::start(&emulator_config).expect("back ends start");
     let mut options = ClusterOptions::new(NODES, VOTERS);
     options.settings = json!({ "routing": variant.routing, "log": { "level": "warn" } });
-    let cluster = Cluster::start(&binary(), &options).expect("processes start");
+    let cluster = Cluster::start(
+        &program_beside_example("silversaild").expect("a path"),
+        &options,
+    )
+    .expect("processes start");
     assert!(cluster.wait_until_serving());
     let (status, answer) = cluster.change(0, "fleet", 0, document).expect("an answer");
     assert_eq!(status, 200, "{answer}");
--- a/crates/testbed/examples/cost.rs
+++ b/crates/testbed/examples/cost.rs
@@ -3,12 +3,12 @@
 //! path: `cargo run --release -p silversail-testbed --example cost`.
 
 use serde_json::{json, Value};
-use silversail_testbed::cluster::metric_sum;
+use silversail_testbed::cluster::{metric_sum, program_beside_example};
 use silversail_testbed::emulate::EmulatorConfig;
 use silversail_testbed::load::{run, TenantLoad};
 use silversail_testbed::{CallOptions, Caller, Cluster, ClusterOptions, Emulator, LoadPlan};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+
 use std::time::{Duration, Instant};
 
 const IDLE: Duration = Duration::from_secs(10);
@@ -24,15 +24,6 @@
     data_path();
 }
 
-fn binary() -> PathBuf {
-    let example = std::env::current_exe().expect("a path");
-    let folder = example
-        .parent()
-        .and_then(Path::parent)
-        .expect("a target folder");
-    folder.join("silversaild")
-}
-
 /// Processor seconds and resident megabytes of a process.
 fn usage(process: u32) -> (f64, f64) {
     let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
@@ -54,7 +45,11 @@
 fn cluster(nodes: usize, settings: Value) -> Cluster {
     let mut options = ClusterOptions::new(nodes, 3);
     options.settings = settings;
-    let cluster = Cluster::start(&binary(), &options).expect("processes start");
+    let cluster = Cluster::start(
+        &program_beside_example("silversaild").expect("a path"),
+        &options,
+    )
+    .expect("processes start");
     assert!(cluster.wait_until_serving() && cluster.wait_for_usable(nodes));
     cluster
 }
@@ -247,7 +242,11 @@
     // One process, so that it is its own only entry point and its own quorum.
     let mut options = ClusterOptions::new(1, 1);
     options.settings = quiet();
-    let cluster = Cluster::start(&binary(), &options).expect("processes start");
+    let cluster = Cluster::start(
+        &program_beside_example("silversaild").expect("a path"),
+        &options,
+    )
+    .expect("processes start");
     assert!(cluster.wait_until_serving() && cluster.wait_for_usable(1));
     let (status, answer) = cluster
         .change(0, "data", 0, data_document(&emulator))
--- a/crates/testbed/examples/fleets.rs
+++ b/crates/testbed/examples/fleets.rs
@@ -4,13 +4,14 @@
 //! seconds of each of the four runs.
 
 use serde_json::{json, Value};
+use silversail_testbed::cluster::{program_beside_example, read_yaml};
 use silversail_testbed::emulate::EmulatorConfig;
 use silversail_testbed::load::run;
 use silversail_testbed::{
     check, CallRecord, Cluster, ClusterOptions, Emulator, LinkFault, LoadPlan, LoadReport,
     Violation,
 };
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,20 +23,6 @@
 /// Pipelines whose last stages are services with a run log.
 const LOGGED: [&str; 2] = ["barrier-open", "subset"];
 
-fn read<T: serde::de::DeserializeOwned>(path: &Path) -> T {
-    let text = std::fs::read_to_string(path).expect("the file can be read");
-    serde_yaml_ng::from_str(&text).expect("the file is valid")
-}
-
-fn binary() -> PathBuf {
-    let example = std::env::current_exe().expect("a path");
-    let folder = example
-        .parent()
-        .and_then(Path::parent)
-        .expect("a target folder");
-    folder.join("silversaild")
-}
-
 fn main() {
     let seconds: u64 = std::env::args()
         .nth(1)
@@ -52,9 +39,10 @@
 
 fn run_fleet(fleet: &str, seconds: u64, faults: bool) {
     let folder = Path::new("examples").join(fleet);
-    let config: EmulatorConfig = read(&folder.join("backends.yaml"));
-    let document: Value = read(&folder.join("pipelines.yaml"));
-    let mut plan: LoadPlan = read(&folder.join("load.yaml"));
+    let config: EmulatorConfig =
+        read_yaml(&folder.join("backends.yaml")).expect("the file is valid");
+    let document: Value = read_yaml(&folder.join("pipelines.yaml")).expect("the file is valid");
+    let mut plan: LoadPlan = read_yaml(&folder.join("load.yaml")).expect("the file is valid");
     plan.duration_ms = seconds * 1_000;
     plan.keyed = true;
     plan.attempts = 2;
@@ -62,7 +50,11 @@
     let mut options = ClusterOptions::new(NODES, VOTERS);
     options.proxied = true;
     options.settings = json!({ "log": { "level": "warn" } });
-    let mut cluster = Cluster::start(&binary(), &options).expect("processes start");
+    let mut cluster = Cluster::start(
+        &program_beside_example("silversaild").expect("a path"),
+        &options,
+    )
+    .expect("processes start");
     assert!(cluster.wait_until_serving());
     let (status, answer) = cluster.change(0, "fleet", 0, document).expect("an answer");
     assert_eq!(status, 200, "{answer}");
--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -4,6 +4,7 @@
 use crate::proxy::{FaultProxy, LinkFault};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
+use serde::de::DeserializeOwned;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -99,6 +100,19 @@
     Err(io::ErrorKind::AddrNotAvailable.into())
 }
 
+/// Path of a program built beside the running example.
+pub fn program_beside_example(name: &str) -> io::Result<PathBuf> {
+    let example = std::env::current_exe()?;
+    let folder = example.parent().and_then(Path::parent);
+    Ok(folder.unwrap_or(Path::new(".")).join(name))
+}
+
+/// Reads a YAML file.
+pub fn read_yaml<T: DeserializeOwned>(path: &Path) -> io::Result<T> {
+    let text = std::fs::read_to_string(path)?;
+    serde_yaml_ng::from_str(&text).map_err(io::Error::other)
+}
+
 /// Waits until `condition` holds; false when it does not within `timeout`.
 pub fn wait_until(timeout: Duration, mut condition: impl FnMut() -> bool) -> bool {
     let deadline = Instant::now() + timeout;
