Check one leader a term in storms of elections; send views only where they lack

Cause: a vote before its sync was not found even with crashes inside writes: it shows only when two candidates of one term meet a voter that forgot. And the leader sent its unchanged view to each relay each second.

Relays tell their view's version with their reports, and get the view when it is older.

--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -112,7 +112,9 @@
             SessionMessage::Heartbeat(heartbeat) => {
                 call!([voter.relay], heartbeat(from, heartbeat));
             }
-            SessionMessage::Reports(reports) => call!([voter.relay], reports(reports)),
+            SessionMessage::Reports { reports, view } => {
+                call!([voter.relay], reports(from, reports, view));
+            }
             SessionMessage::View(view) => call!([voter.relay], view(view)),
             SessionMessage::Reply(_) | SessionMessage::Push(_) => {}
         }
--- a/crates/daemon/src/replica/actor.rs
+++ b/crates/daemon/src/replica/actor.rs
@@ -23,8 +23,11 @@
 const TICK: Duration = Duration::from_millis(30);
 /// Ticks between probes and join requests.
 const TICKS_PER_PROBE: u64 = 8;
-/// Applied entries after which a snapshot replaces the log.
+/// Least applied entries after which a snapshot replaces the log.
 const COMPACT_AFTER_ENTRIES: usize = 2_000;
+/// A snapshot of so many bytes is worth one more entry of the log, so that a
+/// large state is not written again and again.
+const SNAPSHOT_BYTES_PER_ENTRY: usize = 512;
 /// Entries kept behind a snapshot for followers that are a little late.
 const KEEP_ENTRIES: usize = 500;
 
@@ -84,6 +87,7 @@
     joins: BTreeMap<String, JoinRequest>,
     ticks: u64,
     applied_since_compaction: usize,
+    compact_after: usize,
     /// Node of each replica, as seen on messages and in memberships.
     nodes: BTreeMap<ReplicaId, NodeName>,
 }
@@ -112,6 +116,7 @@
             joins: BTreeMap::new(),
             ticks: 0,
             applied_since_compaction: 0,
+            compact_after: COMPACT_AFTER_ENTRIES,
             nodes: BTreeMap::new(),
         };
         actor.carry_out();
@@ -487,7 +492,7 @@
             }
         }
         fwd!([self.setup.on_applied], ());
-        if self.applied_since_compaction >= COMPACT_AFTER_ENTRIES {
+        if self.applied_since_compaction >= self.compact_after {
             self.compact();
         }
     }
@@ -495,6 +500,7 @@
     fn compact(&mut self) {
         self.applied_since_compaction = 0;
         let data = self.setup.machine.borrow().snapshot();
+        self.compact_after = COMPACT_AFTER_ENTRIES.max(data.len() / SNAPSHOT_BYTES_PER_ENTRY);
         let State::Member(replica) = &mut self.state else {
             return;
         };
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -16,8 +16,6 @@
 
 /// Interval of reports to the leader and of views to the relays.
 const TICK: Duration = Duration::from_millis(200);
-/// Ticks after which an unchanged view is sent again.
-const TICKS_PER_VIEW: u64 = 5;
 /// A session without a heartbeat for so long gets no pushes, in milliseconds.
 const SESSION_SILENCE: Millis = 5_000;
 
@@ -50,7 +48,6 @@
     view: ClusterView,
     table: Option<(u64, MembershipTable)>,
     sent_version: ViewVersion,
-    ticks: u64,
 }
 
 impl RelayActor {
@@ -64,7 +61,6 @@
             view: ClusterView::default(),
             table: None,
             sent_version: ViewVersion::default(),
-            ticks: 0,
         })
     }
 
@@ -74,7 +70,6 @@
 
     fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
-        self.ticks += 1;
         let now = self.now(cx);
         self.follow_leadership(now);
         let reports = std::mem::take(&mut self.pending_reports);
@@ -110,11 +105,8 @@
             table.report(report, now);
         }
         table.expire(now);
-        let changed = table.version() != self.sent_version;
-        if changed {
+        if table.version() != self.sent_version {
             self.view = table.view();
-        }
-        if changed || self.ticks.is_multiple_of(TICKS_PER_VIEW) {
             self.sent_version = self.view.version;
             self.send_to_relays();
         }
@@ -134,7 +126,10 @@
         let Some(leader) = leader.filter(|_| !reports.is_empty()) else {
             return;
         };
-        let message = SessionMessage::Reports(reports.into_values().collect());
+        let message = SessionMessage::Reports {
+            reports: reports.into_values().collect(),
+            view: self.view.version,
+        };
         let leader = NodeName(leader);
         self.setup
             .outbox
@@ -184,8 +179,22 @@
         }
     }
 
-    /// Heartbeats that another relay passes on.
-    pub fn reports(&mut self, _: CX![], reports: Vec<NodeReport>) {
+    /// Heartbeats that another relay passes on, with the view that it has.
+    pub fn reports(
+        &mut self,
+        _: CX![],
+        from: NodeName,
+        reports: Vec<NodeReport>,
+        view: ViewVersion,
+    ) {
+        if self.table.is_some() && view < self.view.version {
+            // The relay was away when the view changed, or the message was lost.
+            let message = SessionMessage::View(self.view.clone());
+            self.setup
+                .outbox
+                .borrow_mut()
+                .send(&from, PeerMessage::Session(message));
+        }
         for report in reports {
             self.pending_reports.insert(report.node.clone(), report);
         }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -197,7 +197,8 @@
     pub platform_poll_ms: u64,
     /// Longest wait for the ledger's answer.
     pub ledger_timeout_ms: u64,
-    /// How long ended requests are kept for repeats.
+    /// How long keys are remembered from their first request; well above the
+    /// longest deadline.
     pub ledger_retention_ms: u64,
     /// Longest wait for requests under way at a stop.
     pub stop_timeout_ms: u64,
@@ -218,7 +219,7 @@
             load_poll_ms: 250,
             platform_poll_ms: 500,
             ledger_timeout_ms: 2_000,
-            ledger_retention_ms: 3_600_000,
+            ledger_retention_ms: 900_000,
             stop_timeout_ms: 30_000,
             weight_store_mb_per_s: 1_000.0,
         }
@@ -372,6 +373,12 @@
                 "must be at least 2 session_heartbeat_ms",
             );
         }
+        if self.timing.ledger_retention_ms < self.limits.deadline_ms {
+            return out_of_range(
+                "timing.ledger_retention_ms",
+                "must be at least limits.deadline_ms",
+            );
+        }
         if self.timing.weight_store_mb_per_s <= 0.0 {
             return out_of_range("timing.weight_store_mb_per_s", "must be above 0");
         }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -157,7 +157,12 @@
     /// Relay to node, at once when the configuration changes.
     Push(ConfigurationUpdate),
     /// Relay to leader: the heartbeats of its nodes since the last one.
-    Reports(Vec<NodeReport>),
-    /// Leader to relays.
+    Reports {
+        /// The heartbeats.
+        reports: Vec<NodeReport>,
+        /// Version of the view that the relay has.
+        view: ViewVersion,
+    },
+    /// Leader to relays, when it changes and to those that have an older one.
     View(ClusterView),
 }
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -27,9 +27,26 @@
 /// Longest outage of a process that crashes in the middle of a write.
 const SHORT_OUTAGE: Millis = 60;
 
-/// Shares of the faults that happen, by seed: with few of them more requests
-/// get far enough to go wrong late.
-const SEVERITIES: [f64; 3] = [0.1, 0.3, 1.0];
+/// How hard a seed's faults are.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Severity {
+    /// This share of the faults drawn happens: with few of them more requests
+    /// get far enough to go wrong late.
+    Share(f64),
+    /// All happen, messages are slow and often lost, and voters crash in the
+    /// middle of writes all the time: elections upon elections.
+    Storm,
+}
+
+const SEVERITIES: [Severity; 4] = [
+    Severity::Share(0.1),
+    Severity::Share(0.3),
+    Severity::Share(1.0),
+    Severity::Storm,
+];
+/// Network of a storm.
+const STORM_LOSS: f64 = 0.2;
+const STORM_DELAY: Millis = 120;
 
 /// What came of a seed.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -63,8 +80,7 @@
     restarts: Vec<(Millis, usize)>,
     /// A voter whose disk was emptied, until it votes again.
     emptied: Option<usize>,
-    /// Share of the faults drawn that happen.
-    severity: f64,
+    severity: Severity,
 }
 
 /// Runs one seed.
@@ -106,6 +122,11 @@
             desk.refused = 0.05;
             desk.lost = 0.05;
         }
+        if self.severity == Severity::Storm {
+            let mut network = self.world.network.borrow_mut();
+            network.faults.loss = STORM_LOSS;
+            network.faults.max_delay = STORM_DELAY;
+        }
         let end = self.world.now() + TROUBLE;
         while self.world.now() < end {
             self.act();
@@ -122,7 +143,14 @@
         let position = self.world.random.gen_range(0..self.world.places.len());
         let action = self.world.random.gen_range(0..100);
         let is_fault = action >= FIRST_FAULT;
-        if is_fault && !self.world.random.gen_bool(self.severity) {
+        let happens = match self.severity {
+            Severity::Share(share) => !is_fault || self.world.random.gen_bool(share),
+            Severity::Storm => {
+                self.crash_unsynced();
+                true
+            }
+        };
+        if !happens {
             return;
         }
         match action {
@@ -336,6 +364,9 @@
     }
 
     fn check(&mut self) {
+        let mut failures = std::mem::take(&mut self.world.failures);
+        failures.dedup();
+        self.report.failures.extend(failures);
         self.traffic.note_unanswered();
         let violations = check(&self.traffic.calls, &self.world.runs.borrow());
         for violation in violations {
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -53,6 +53,10 @@
     /// Revisions that nodes had in force, as they changed. A restarted process
     /// counts as the same node.
     pub revisions: Vec<RevisionRecord>,
+    /// Breaks of what must hold at every moment.
+    pub failures: Vec<String>,
+    /// The one leader of each term of each group.
+    leaders: BTreeMap<(GroupId, u64), usize>,
     epoch: Instant,
     now: Millis,
 }
@@ -82,6 +86,8 @@
             random,
             runs: Rc::default(),
             revisions: Vec::new(),
+            failures: Vec::new(),
+            leaders: BTreeMap::new(),
             epoch: Instant::now(),
             now: START,
         };
@@ -315,6 +321,29 @@
         });
         let revision = node.state.borrow().configuration.revision();
         self.note_revision(position, revision);
+        self.check_leaders(position);
+    }
+
+    /// A term has one leader at most.
+    fn check_leaders(&mut self, position: usize) {
+        let Some(node) = &self.places[position].node else {
+            return;
+        };
+        for (group, status) in &node.actors.statuses {
+            let status = status.borrow();
+            if !status.is_leader {
+                continue;
+            }
+            let leader = *self
+                .leaders
+                .entry((*group, status.term))
+                .or_insert(position);
+            if leader != position {
+                let term = status.term;
+                let message = format!("{group}: n{leader} and n{position} lead term {term}");
+                self.failures.push(message);
+            }
+        }
     }
 
     fn note_revision(&mut self, position: usize, revision: Option<u64>) {
