--- a/crates/cli/src/commands/configuration.rs
+++ b/crates/cli/src/commands/configuration.rs
@@ -1,12 +1,14 @@
-//! `apply`, `get` and `drain`.
+//! `apply`, `get`, `diff`, `history` and `drain`.
 
 use crate::commands::check::read_document;
 use crate::errors::CliError;
 use crate::operator_client::OperatorClient;
 use crate::output::{print, OutputFormat, Table};
 use argh::FromArgs;
+use serde::Serialize;
 use serde_json::{json, Value};
-use silversail_model::ConfigurationDocument;
+use silversail_model::{Configuration, ConfigurationDocument};
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 
 /// Puts a configuration file in force. Prints the new revision.
@@ -148,6 +150,121 @@
     table
 }
 
+/// Prints what a file would change, without changing anything.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "diff",
+    example = "{command_name} --server 127.0.0.1:9101 --file change.yaml"
+)]
+pub struct Diff {
+    /// operators' addresses, comma-separated
+    #[argh(option)]
+    server: String,
+    /// YAML file as for apply
+    #[argh(option)]
+    file: PathBuf,
+    /// table, json or yaml
+    #[argh(option, default = "OutputFormat::Table")]
+    output: OutputFormat,
+}
+
+/// One object that a file would change.
+#[derive(Serialize)]
+struct Difference {
+    change: &'static str,
+    kind: &'static str,
+    name: String,
+}
+
+impl Diff {
+    /// Compares and prints.
+    pub fn run(self) -> Result<(), CliError> {
+        let change = read_document(&self.file)?;
+        let answer = OperatorClient::new(&self.server).get("/v1/configuration")?;
+        let document: ConfigurationDocument = serde_json::from_value(answer["document"].clone())
+            .map_err(|error| CliError::Local(error.to_string()))?;
+        let mut current = Configuration::default();
+        current.apply(&document);
+        let next = current
+            .with_change(&change)
+            .map_err(|errors| CliError::Invalid(errors.to_string()))?;
+        let differences = differences(&current, &next);
+        print(self.output, &differences, || {
+            let mut table = Table::new(&["change", "kind", "name"]);
+            for one in &differences {
+                let cells = [one.change, one.kind, &one.name];
+                table.row(cells.map(str::to_owned).to_vec());
+            }
+            table
+        })
+    }
+}
+
+fn differences(current: &Configuration, next: &Configuration) -> Vec<Difference> {
+    let mut all = Vec::new();
+    compare("pipeline", &current.pipelines, &next.pipelines, &mut all);
+    compare("backend", &current.backends, &next.backends, &mut all);
+    compare("model", &current.models, &next.models, &mut all);
+    compare("tenant", &current.tenants, &next.tenants, &mut all);
+    all
+}
+
+fn compare<K: Ord + ToString, V: PartialEq>(
+    kind: &'static str,
+    current: &BTreeMap<K, V>,
+    next: &BTreeMap<K, V>,
+    differences: &mut Vec<Difference>,
+) {
+    let names: BTreeSet<&K> = current.keys().chain(next.keys()).collect();
+    for name in names {
+        let change = match (current.get(name), next.get(name)) {
+            (None, Some(_)) => "add",
+            (Some(_), None) => "delete",
+            (Some(before), Some(after)) if before != after => "change",
+            _ => continue,
+        };
+        differences.push(Difference {
+            change,
+            kind,
+            name: name.to_string(),
+        });
+    }
+}
+
+/// Prints the latest accepted changes. Ask a voter.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "history",
+    example = "{command_name} --server 127.0.0.1:9101"
+)]
+pub struct History {
+    /// operators' addresses of voters, comma-separated
+    #[argh(option)]
+    server: String,
+    /// table, json or yaml
+    #[argh(option, default = "OutputFormat::Table")]
+    output: OutputFormat,
+}
+
+impl History {
+    /// Reads and prints.
+    pub fn run(self) -> Result<(), CliError> {
+        let answer = OperatorClient::new(&self.server).get("/v1/configuration/history")?;
+        let changes = answer["changes"].as_array().cloned().unwrap_or_default();
+        print(self.output, &changes, || {
+            let mut table = Table::new(&["revision", "change_id", "operator"]);
+            for change in &changes {
+                let text = |field: &str| change[field].as_str().unwrap_or_default().to_owned();
+                let revision = change["revision"].to_string();
+                table.row(vec![revision, text("change_id"), text("operator")]);
+            }
+            table
+        })
+    }
+}
+
 /// Declares that a back end gets nothing new, or again may.
 #[derive(FromArgs)]
 #[argh(
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -21,6 +21,10 @@
     Apply(configuration::Apply),
     /// See [`configuration::Get`].
     Get(configuration::Get),
+    /// See [`configuration::Diff`].
+    Diff(configuration::Diff),
+    /// See [`configuration::History`].
+    History(configuration::History),
     /// See [`configuration::Drain`].
     Drain(configuration::Drain),
     /// See [`status::Status`].
@@ -49,6 +53,8 @@
         match self {
             Command::Apply(command) => command.run(),
             Command::Get(command) => command.run(),
+            Command::Diff(command) => command.run(),
+            Command::History(command) => command.run(),
             Command::Drain(command) => command.run(),
             Command::Status(command) => command.run(),
             Command::Check(command) => command.run(),
--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -12,6 +12,7 @@
 use crate::session::{RelayActor, RelaySetup, SessionActor, SessionSetup, SharedNodeState};
 use crate::settings::Settings;
 use silversail_consensus::{ReplicaId, StateMachine, StoredState};
+use silversail_control::configuration_state::HistoryEntry;
 use silversail_control::ControlState;
 use silversail_ledger::LedgerState;
 use silversail_model::NodeName;
@@ -159,6 +160,13 @@
         }
     }
 
+    /// The latest accepted changes, as this node's replica knows them; none on
+    /// a node that does not vote.
+    pub fn history(&self) -> Option<Vec<HistoryEntry>> {
+        let machine = self.voter.as_ref()?.machine.borrow();
+        Some(machine.configuration.history().cloned().collect())
+    }
+
     /// What hands leadership over, by group.
     pub fn hand_overs(&self) -> Vec<Fwd<()>> {
         let Some(voter) = &self.voter else {
--- a/crates/daemon/src/node/operators.rs
+++ b/crates/daemon/src/node/operators.rs
@@ -17,6 +17,7 @@
     pub(super) fn operator(&mut self, request: OperatorRequest, reply: SyncSender<OperatorReply>) {
         let answer = match request {
             OperatorRequest::Configuration => self.configuration(),
+            OperatorRequest::History => self.history(),
             OperatorRequest::Status => OperatorReply::ok(&self.status()),
             OperatorRequest::Change(change) => {
                 self.change(change, reply);
@@ -43,6 +44,18 @@
         }))
     }
 
+    /// The latest changes; voters alone keep them.
+    fn history(&self) -> OperatorReply {
+        match self.actors.history() {
+            Some(history) => OperatorReply::ok(&json!({ "changes": history })),
+            None => OperatorReply::refuse(
+                ResultCode::NotAVoter,
+                "the history is kept by voters; ask one of them",
+                json!({ "voters": self.settings.cluster.voters }),
+            ),
+        }
+    }
+
     fn change(&mut self, change: ChangeRequest, reply: SyncSender<OperatorReply>) {
         let command = ControlCommand::Change(change).encode();
         let ret = ret_some_do!(move |outcome: ProposalOutcome| {
--- a/crates/daemon/src/requests/accept.rs
+++ b/crates/daemon/src/requests/accept.rs
@@ -162,8 +162,6 @@
         called_at: now,
         call: None,
         anything_ran: false,
-        effect_sent: false,
-        last_failure: None,
     }
 }
 
--- a/crates/daemon/src/requests/active.rs
+++ b/crates/daemon/src/requests/active.rs
@@ -3,9 +3,7 @@
 use serde_json::{Map, Value};
 use silversail_http::Responder;
 use silversail_ledger::RequestKey;
-use silversail_model::{
-    BackendName, Pipeline, ResultCode, Stage, StageKind, StageName, TenantName,
-};
+use silversail_model::{BackendName, Pipeline, Stage, StageKind, StageName, TenantName};
 use silversail_routing::StageEstimate;
 use std::rc::Rc;
 use std::sync::atomic::AtomicBool;
@@ -154,10 +152,6 @@
     pub call: Option<CurrentCall>,
     /// Whether any stage call was sent and not proved to be not run.
     pub anything_ran: bool,
-    /// Whether a call that may not be repeated ended or is out.
-    pub effect_sent: bool,
-    /// The failure of the last attempt.
-    pub last_failure: Option<(ResultCode, String)>,
 }
 
 impl ActiveRequest {
--- a/crates/daemon/src/requests/dispatch.rs
+++ b/crates/daemon/src/requests/dispatch.rs
@@ -122,7 +122,6 @@
             // Makes sure that each has a load to compare.
             self.pools.load(&backend.name);
         }
-        let own_zone = &self.setup.settings.own_node().zone;
         let compared: Vec<Candidate<'_>> = candidates
             .iter()
             .filter_map(|backend| {
@@ -130,7 +129,6 @@
                     name: &backend.name,
                     slots: backend.slots,
                     holds_prefix: false,
-                    same_zone: backend.labels.get("zone") == Some(own_zone),
                     load: self.pools.known_load(&backend.name)?,
                 })
             })
@@ -327,9 +325,6 @@
             repeatable: stage.is_repeatable(),
             cancelled: call.cancelled.clone(),
         };
-        if !stage.is_repeatable() {
-            request.effect_sent = true;
-        }
         let attempt = call.attempt;
         if is_first_attempt {
             let backend = call.backend.clone();
--- a/crates/daemon/src/requests/outcome.rs
+++ b/crates/daemon/src/requests/outcome.rs
@@ -129,15 +129,10 @@
         };
         let is_repeatable = request.current_stage().is_repeatable();
         let was_not_run = matches!(failure, CallFailure::NotRun(_));
-        if was_not_run && !is_repeatable {
-            let earlier = &request.pipeline.stages[..request.stage];
-            request.effect_sent = earlier.iter().any(|stage| !stage.is_repeatable());
-        }
         if !was_not_run {
             request.anything_ran = true;
         }
         let code = failure_code(&failure, is_repeatable);
-        request.last_failure = Some((code, failure.to_string()));
         request.avoid.push(call.backend.clone());
         let may_repeat = was_not_run || is_repeatable;
         let is_final = matches!(failure, CallFailure::Deadline | CallFailure::Cancelled);
--- a/crates/daemon/src/surface/operators.rs
+++ b/crates/daemon/src/surface/operators.rs
@@ -45,6 +45,8 @@
     Configuration,
     /// A change.
     Change(ChangeRequest),
+    /// The latest accepted changes.
+    History,
     /// State of this process.
     Status,
 }
@@ -206,6 +208,7 @@
 fn parse(path: &str, request: &mut Request) -> Result<OperatorRequest, OperatorReply> {
     match (request.method(), path) {
         (Method::Get, "/v1/configuration") => Ok(OperatorRequest::Configuration),
+        (Method::Get, "/v1/configuration/history") => Ok(OperatorRequest::History),
         (Method::Get, "/v1/status") => Ok(OperatorRequest::Status),
         (Method::Post, "/v1/configuration/changes") => parse_change(request),
         (method, _) => {
--- a/crates/daemon/tests/configuration.rs
+++ b/crates/daemon/tests/configuration.rs
@@ -117,6 +117,28 @@
     assert_eq!(cluster.revision(0), Some(2));
 }
 
+#[test]
+fn voters_tell_the_history_of_changes() {
+    let cluster = formed(&ClusterOptions::new(4, 3));
+    accept(&cluster, 3, 0);
+    accept(&cluster, 0, 1);
+    assert!(cluster.wait_for_revision(2));
+    let history = |position: usize| {
+        let address = cluster.nodes[position].operators;
+        ureq::get(&format!("http://{address}/v1/configuration/history")).call()
+    };
+    let answer = history(1).expect("an answer");
+    let body: Value = serde_json::from_reader(answer.into_reader()).expect("JSON");
+    let ids: Vec<&str> = body["changes"]
+        .as_array()
+        .expect("changes")
+        .iter()
+        .filter_map(|change| change["change_id"].as_str())
+        .collect();
+    assert_eq!(ids, ["change-0", "change-1"]);
+    assert!(matches!(history(3), Err(ureq::Error::Status(404, _))));
+}
+
 #[test]
 fn a_change_with_errors_is_refused_with_the_path_of_each_field() {
     let cluster = formed(&ClusterOptions::new(3, 3));
--- a/crates/model/src/codes.rs
+++ b/crates/model/src/codes.rs
@@ -167,6 +167,8 @@
     MalformedChange = 4005, "malformed_change", 400, NotRun;
     /// No such object.
     UnknownObject = 4006, "unknown_object", 404, NotRun;
+    /// Only voters keep what is asked for.
+    NotAVoter = 4007, "not_a_voter", 404, NotRun;
 
     /// The data folder can't be used.
     DataFolder = 5001, "data_folder", 500, Failed;
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -119,13 +119,6 @@
     pub stages: Vec<Stage>,
 }
 
-impl Pipeline {
-    /// Whether any stage may run at most once.
-    pub fn has_unrepeatable_stage(&self) -> bool {
-        self.stages.iter().any(|stage| !stage.is_repeatable())
-    }
-}
-
 /// An outside system that runs stages.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -138,8 +138,6 @@
     pub slots: u32,
     /// Whether it is believed to hold the prompt's prefix.
     pub holds_prefix: bool,
-    /// Whether it is in this node's zone.
-    pub same_zone: bool,
     /// Its load.
     pub load: &'a BackendLoad,
 }
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -163,7 +163,6 @@
             name,
             slots: 4,
             holds_prefix: false,
-            same_zone: false,
             load,
         })
         .collect();
--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -116,4 +116,16 @@
             clock: context.clock,
         }
     }
+
+    /// Ends the process at `now`. The runtime frees dropped actors only when it
+    /// runs once more.
+    pub fn stop(self, now: Instant) {
+        let Self {
+            mut stakker,
+            actors,
+            ..
+        } = self;
+        drop(actors);
+        stakker.run(now, false);
+    }
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -161,8 +161,11 @@
 
     /// Crashes a process: unsynced writes and calls under way are lost to it.
     pub fn crash(&mut self, position: usize) {
+        let instant = self.instant();
         let place = &mut self.places[position];
-        place.node = None;
+        if let Some(node) = place.node.take() {
+            node.stop(instant);
+        }
         place.frozen_until = None;
         place.frozen_messages.clear();
         for disk in place.parts.disks.values() {
@@ -399,6 +402,14 @@
     }
 }
 
+impl Drop for World {
+    fn drop(&mut self) {
+        for position in 0..self.places.len() {
+            self.crash(position);
+        }
+    }
+}
+
 fn settings_of(position: usize, size: WorldSize) -> Settings {
     let nodes: Vec<_> = (0..size.nodes)
         .map(|node| {
