--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -294,7 +294,13 @@
         } else {
             progress.next_index = match_index.clamp(progress.match_index + 1, last + 1);
         }
-        let more = !accepted || progress.next_index <= last;
+        // A follower that lacks what it had acknowledged has a disk that lies:
+        // sending it the same again at once would go on without end. The next
+        // heartbeat asks again.
+        let more = match accepted {
+            true => progress.next_index <= last,
+            false => match_index > progress.match_index,
+        };
         self.confirm_rounds();
         self.advance_commit();
         if more {
--- a/crates/consensus/tests/replica.rs
+++ b/crates/consensus/tests/replica.rs
@@ -259,3 +259,28 @@
     assert_eq!(sizes, [(3, 1), (2, 1), (3, 0)]);
     assert!(current.is_voter(ReplicaId(9)) && !current.is_voter(ReplicaId(3)));
 }
+
+#[test]
+fn a_follower_that_lost_what_it_acknowledged_is_not_asked_without_end() {
+    let mut one = leader(2_000);
+    one.take_output();
+    one.on_synced(2_000);
+    let reply = |accepted, match_index| MessageBody::AppendReply {
+        accepted,
+        match_index,
+        round: 1,
+        sent_at: silversail_consensus::Stamp {
+            incarnation: 1,
+            at: 0,
+        },
+    };
+    let noop = one.last_index();
+    one.step(message(2, 1, 2, reply(true, noop)), 2_001);
+    one.take_output();
+    one.step(message(2, 1, 2, reply(false, 1)), 2_002);
+    let resent = one.take_output().messages;
+    assert!(
+        resent.iter().all(|sent| sent.to != ReplicaId(2)),
+        "{resent:?}"
+    );
+}
