--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -3,8 +3,9 @@
 use crate::log::{HardState, Index, Payload, Term};
 use crate::membership::ReplicaId;
 use crate::message::MessageBody;
+use crate::output::Role;
 use crate::progress::Progress;
-use crate::replica::{Replica, Role};
+use crate::replica::Replica;
 
 impl Replica {
     pub(crate) fn start_pre_vote(&mut self) {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod log;
 pub mod membership;
 pub mod message;
+pub mod output;
 pub mod progress;
 pub mod replica;
 pub mod replication;
@@ -24,7 +25,8 @@
 pub use log::{Entry, HardState, Index, Payload, ReplicatedLog, Snapshot, SnapshotMeta, Term};
 pub use membership::{next_membership, JoinRequest, Membership, ReplicaId};
 pub use message::{Message, MessageBody, Stamp};
-pub use replica::{Output, ProposeError, Replica, Role, StoredState, WriteBatch};
+pub use output::{Output, ProposeError, Role, StoredState, WriteBatch};
+pub use replica::Replica;
 pub use state_machine::StateMachine;
 
 /// Milliseconds of a local monotonic clock; comparable in one process only.
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -3,8 +3,9 @@
 use crate::log::{Entry, Index, Payload, Snapshot, Term};
 use crate::membership::ReplicaId;
 use crate::message::{LeaderFreshness, MessageBody, Stamp};
+use crate::output::Role;
 use crate::progress::Progress;
-use crate::replica::{Replica, Role};
+use crate::replica::Replica;
 use crate::Millis;
 
 /// After this many election timeouts an unanswered snapshot is sent again.
--- a/crates/daemon/src/requests/own.rs
+++ b/crates/daemon/src/requests/own.rs
@@ -6,10 +6,10 @@
 use crate::requests::active::{ActiveRequest, Phase, RequestNumber};
 use crate::requests::actor::RequestActor;
 use crate::requests::answer::RefusalBody;
+use sha2::{Digest, Sha256};
 use silversail_ledger::{Begin, KeptOutcome, LedgerCommand, LedgerReply, Owner, RequestKey};
 use silversail_model::ResultCode;
 use stakker::{after, call, ret_some_to, Actor, Ret, CX};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 /// Interval at which a copy asks for the outcome of the one that runs.
@@ -38,12 +38,18 @@
     }
 
     fn ledger_of(&self, key: &RequestKey) -> Actor<crate::replica::ProposerActor> {
-        // Any stable hash will do, so long as all nodes run one version; keys
-        // of different versions meet in the same group by `DefaultHasher`'s
-        // fixed keys.
-        let mut hasher = DefaultHasher::new();
-        key.hash(&mut hasher);
-        let part = hasher.finish() % self.setup.ledgers.len() as u64;
+        // All nodes must agree on a key's group, whatever they were built with,
+        // so the hash is one that is specified.
+        let mut hasher = Sha256::new();
+        hasher.update(key.tenant.as_str());
+        hasher.update([0]);
+        hasher.update(&key.key);
+        let digest = hasher.finalize();
+        let number = digest
+            .iter()
+            .take(8)
+            .fold(0_u64, |sum, byte| sum << 8 | u64::from(*byte));
+        let part = number % self.setup.ledgers.len() as u64;
         self.setup.ledgers[part as usize].clone()
     }
 
