Provoke a failed write: the process stops with 5003 and loses nothing accepted

Cause: a full disk was handled and not proved.

Change: a test bounds the size of files as a full disk would, sends changes until a write fails, and starts the process again with room.

--- a/crates/daemon/tests/startup.rs
+++ b/crates/daemon/tests/startup.rs
@@ -5,7 +5,7 @@
 use common::binary;
 use rstest::rstest;
 use serde_json::{json, Value};
-use silversail_testbed::cluster::free_address;
+use silversail_testbed::cluster::{free_address, wait_until};
 use std::net::TcpListener;
 use std::path::Path;
 use std::process::{Command, Output, Stdio};
@@ -109,7 +109,7 @@
         .stderr(Stdio::null())
         .spawn()
         .expect("started");
-    let locked = silversail_testbed::cluster::wait_until(Duration::from_secs(10), || {
+    let locked = wait_until(Duration::from_secs(10), || {
         folder.path().join("data/control/identity").exists()
     });
     assert!(locked);
@@ -117,3 +117,78 @@
     running.kill().expect("killed");
     running.wait().expect("ended");
 }
+
+fn change(operators: &str, base: u64) -> Option<Value> {
+    let body = json!({
+        "change_id": format!("c{base}"),
+        "base_revision": base,
+        "document": { "tenants": [{ "name": format!("tenant-{base}") }] },
+    });
+    let sent = ureq::post(&format!("http://{operators}/v1/configuration/changes"))
+        .timeout(Duration::from_secs(10))
+        .send_string(&body.to_string());
+    let response = match sent {
+        Ok(response) | Err(ureq::Error::Status(_, response)) => response,
+        Err(ureq::Error::Transport(_)) => return None,
+    };
+    serde_json::from_reader(response.into_reader()).ok()
+}
+
+fn revision(operators: &str) -> Option<u64> {
+    let asked = ureq::get(&format!("http://{operators}/v1/configuration")).call();
+    let body: Value = serde_json::from_reader(asked.ok()?.into_reader()).ok()?;
+    body["revision"].as_u64()
+}
+
+/// The shell bounds the size of files, which a write meets as it would a full
+/// disk; the signal that comes with it is ignored.
+const BOUNDED: &str = "trap '' XFSZ; ulimit -f 24; exec \"$0\" --settings \"$1\"";
+
+#[test]
+fn a_write_that_fails_stops_the_process_and_loses_nothing_accepted() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let settings = settings(folder.path());
+    let operators = settings["operators"]
+        .as_str()
+        .expect("an address")
+        .to_owned();
+    let path = folder.path().join("settings.yaml");
+    let text = serde_yaml_ng::to_string(&settings).expect("YAML");
+    std::fs::write(&path, text).expect("written");
+    let mut bounded = Command::new("sh")
+        .args(["-c", BOUNDED])
+        .arg(binary())
+        .arg(&path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("started");
+    let serves = || revision(&operators).is_some();
+    assert!(wait_until(Duration::from_secs(20), serves));
+    let mut accepted = 0;
+    while change(&operators, accepted).is_some_and(|answer| answer["revision"] == accepted + 1) {
+        accepted += 1;
+        assert!(accepted < 5_000, "no write failed");
+    }
+    let output = wait_until(Duration::from_secs(20), || {
+        bounded.try_wait().is_ok_and(|status| status.is_some())
+    });
+    assert!(output, "the process goes on after a failed write");
+    let output = bounded.wait_with_output().expect("output");
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success());
+    assert!(errors.contains("5003"), "{errors}");
+    assert!(accepted > 10, "{accepted}");
+    // With room again, all that was accepted is there.
+    let mut again = Command::new(binary())
+        .arg("--settings")
+        .arg(&path)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("started");
+    let back = wait_until(Duration::from_secs(20), || {
+        revision(&operators) >= Some(accepted)
+    });
+    again.kill().expect("killed");
+    again.wait().expect("ended");
+    assert!(back, "{accepted} changes were accepted");
+}
