--- a/crates/cli/src/plan/tables.rs
+++ b/crates/cli/src/plan/tables.rs
@@ -202,6 +202,13 @@
     writeln!(page, "| {} |", cells.join(" | ")).expect("writing into memory does not fail");
 }
 
+/// Rows of a table of measure, value and basis.
+fn measure_rows(page: &mut String, rows: &[(&str, String, String)]) {
+    for (name, value, basis) in rows {
+        row(page, &[(*name).to_owned(), value.clone(), basis.clone()]);
+    }
+}
+
 fn heading(page: &mut String, title: &str, columns: &[&str]) {
     let line = vec!["---"; columns.len()].join(" | ");
     write!(
@@ -323,29 +330,18 @@
         input.budget.in_force_ms
     );
     heading(page, &title, &["nodes", "median ms", "worst ms", "basis"]);
-    for one in &input.processes {
-        let basis = "measured, real processes".to_owned();
-        row(
-            page,
-            &[
-                one.nodes.to_string(),
-                one.in_force_median_ms.to_string(),
-                one.in_force_worst_ms.to_string(),
-                basis,
-            ],
-        );
-    }
-    for one in &input.hollow {
-        let basis = "measured, hollow, virtual time without processing".to_owned();
-        row(
-            page,
-            &[
-                one.nodes.to_string(),
-                one.in_force_median_ms.to_string(),
-                one.in_force_worst_ms.to_string(),
-                basis,
-            ],
-        );
+    let real = input.processes.iter().map(|one| {
+        let times = [one.nodes, one.in_force_median_ms, one.in_force_worst_ms];
+        (times, "measured, real processes")
+    });
+    let hollow = input.hollow.iter().map(|one| {
+        let times = [one.nodes, one.in_force_median_ms, one.in_force_worst_ms];
+        (times, "measured, hollow, virtual time without processing")
+    });
+    for (times, basis) in real.chain(hollow) {
+        let mut cells: Vec<String> = times.iter().map(f64::to_string).collect();
+        cells.push(basis.to_owned());
+        row(page, &cells);
     }
 }
 
@@ -389,9 +385,7 @@
             ),
         ),
     ];
-    for (name, value, basis) in rows {
-        row(page, &[name.into(), value, basis]);
-    }
+    measure_rows(page, &rows);
 }
 
 fn ledger_table(page: &mut String, input: &PlanInput) {
@@ -446,9 +440,7 @@
             ),
         ),
     ];
-    for (name, value, basis) in rows {
-        row(page, &[name.into(), value, basis]);
-    }
+    measure_rows(page, &rows);
 }
 
 fn data_path_table(page: &mut String, input: &PlanInput) {
@@ -512,9 +504,7 @@
             format!("assumed {} s a stream", assumed.stream_seconds),
         ),
     ];
-    for (name, value, basis) in rows {
-        row(page, &[name.into(), value, basis]);
-    }
+    measure_rows(page, &rows);
 }
 
 fn day_table(page: &mut String, input: &PlanInput) {
@@ -552,7 +542,5 @@
             "size".into(),
         ),
     ];
-    for (name, value, basis) in rows {
-        row(page, &[name.into(), value, basis]);
-    }
+    measure_rows(page, &rows);
 }
--- a/crates/daemon/src/requests/actor.rs
+++ b/crates/daemon/src/requests/actor.rs
@@ -153,11 +153,6 @@
         self.pools.deal_slots(backends.values());
     }
 
-    /// Number of requests under way.
-    pub fn open_requests(&self) -> usize {
-        self.requests.len()
-    }
-
     /// What follows every input: dispatch what has room, renew gauges.
     pub(crate) fn settle(&mut self, cx: CX![]) {
         self.dispatch_queued(cx);
--- a/crates/routing/src/limits.rs
+++ b/crates/routing/src/limits.rs
@@ -82,11 +82,6 @@
             tenant_use.concurrent = tenant_use.concurrent.saturating_sub(1);
         }
     }
-
-    /// The tenant's requests under way on this node.
-    pub fn concurrent(&self, tenant: &TenantName) -> u32 {
-        self.uses.get(tenant).map_or(0, |one| one.concurrent)
-    }
 }
 
 impl TenantUse {
