--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -72,14 +72,17 @@
 /// as a voter in place of its node's former replica, or none when there is
 /// nothing to do yet.
 ///
-/// Order: learner first; then, once it holds the log, the former replica goes;
-/// then the learner becomes a voter. A quorum is never counted on a replica
+/// Order: learner first; then, once it holds the log, the former replica goes,
+/// or, where the node is new, a voter whose node `is_silent`: a machine that is
+/// gone for good has a successor under another name, and must not go on counting.
+/// Then the learner becomes a voter. A quorum is never counted on a replica
 /// that lacks the log, and any two consecutive quorums share a voter, as each
 /// step changes one voter only.
 pub fn next_membership(
     current: &Membership,
     join: &JoinRequest,
     learner_lag: Option<Index>,
+    is_silent: impl Fn(&str) -> bool,
 ) -> Option<Membership> {
     if current.is_voter(join.replica) {
         return None;
@@ -93,10 +96,11 @@
     if learner_lag.is_none_or(|lag| lag > PROMOTION_LAG) {
         return None;
     }
-    let former = current
-        .voters
-        .iter()
+    let voters = current.voters.iter();
+    let former = voters
+        .clone()
         .find(|(_, node)| **node == join.node)
+        .or_else(|| voters.clone().find(|(_, node)| is_silent(node)))
         .map(|(replica, _)| *replica);
     if let Some(former) = former {
         next.voters.remove(&former);
--- a/crates/consensus/tests/replica.rs
+++ b/crates/consensus/tests/replica.rs
@@ -247,10 +247,13 @@
     };
     let mut sizes = Vec::new();
     // A learner that lags does not replace a voter.
-    let learner = next_membership(&current, &join, None).expect("a learner");
-    assert_eq!(next_membership(&learner, &join, None), None);
-    assert_eq!(next_membership(&learner, &join, Some(1_000)), None);
-    while let Some(next) = next_membership(&current, &join, Some(0)) {
+    let learner = next_membership(&current, &join, None, |_| false).expect("a learner");
+    assert_eq!(next_membership(&learner, &join, None, |_| false), None);
+    assert_eq!(
+        next_membership(&learner, &join, Some(1_000), |_| false),
+        None
+    );
+    while let Some(next) = next_membership(&current, &join, Some(0), |_| false) {
         let voters = |membership: &Membership| membership.voters.len() as i64;
         assert!((voters(&next) - voters(&current)).abs() <= 1);
         sizes.push((next.voters.len(), next.learners.len()));
--- a/crates/control/src/control_state.rs
+++ b/crates/control/src/control_state.rs
@@ -3,8 +3,10 @@
 use crate::change::ChangeRequest;
 use crate::configuration_state::ConfigurationState;
 use crate::orders::{OrderBook, OrderCommand};
+use crate::published::{publish, PublishedTraffic, SharedTraffic};
 use serde::{Deserialize, Serialize};
 use silversail_consensus::{Index, StateMachine};
+use std::sync::Arc;
 
 /// A command of the control group.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -13,6 +15,9 @@
     Change(ChangeRequest),
     /// About orders to engines; answered by an [`crate::orders::OrderReply`].
     Order(OrderCommand),
+    /// Publishes a traffic configuration; answered by a
+    /// [`crate::published::PublishReply`].
+    Publish(PublishedTraffic),
 }
 
 impl ControlCommand {
@@ -22,13 +27,15 @@
     }
 }
 
-/// Configuration and orders.
+/// Configuration, orders and the published traffic configuration.
 #[derive(Debug, Default)]
 pub struct ControlState {
     /// The configuration.
     pub configuration: ConfigurationState,
     /// The orders.
     pub orders: OrderBook,
+    /// The traffic configuration in force, once there is one.
+    pub published: Option<SharedTraffic>,
 }
 
 fn encode<T: Serialize>(value: &T) -> Vec<u8> {
@@ -42,20 +49,24 @@
                 encode(&self.configuration.apply_change(request))
             }
             Ok(ControlCommand::Order(command)) => encode(&self.orders.apply(command)),
+            Ok(ControlCommand::Publish(next)) => encode(&publish(&mut self.published, next)),
             Err(_) => Vec::new(),
         }
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        encode(&(self.configuration.snapshot(), &self.orders))
+        let published = self.published.as_deref();
+        encode(&(self.configuration.snapshot(), &self.orders, published))
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> bool {
-        let Ok((configuration, orders)) = postcard::from_bytes::<(Vec<u8>, OrderBook)>(snapshot)
+        type Stored = (Vec<u8>, OrderBook, Option<PublishedTraffic>);
+        let Ok((configuration, orders, published)) = postcard::from_bytes::<Stored>(snapshot)
         else {
             return false;
         };
         self.orders = orders;
+        self.published = published.map(Arc::new);
         self.configuration.restore(&configuration)
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod membership_table;
 pub mod order_plan;
 pub mod orders;
+pub mod published;
 pub mod update;
 pub mod view;
 
@@ -17,5 +18,6 @@
 pub use membership_table::MembershipTable;
 pub use order_plan::{plan_orders, Holdings, PlannedOrder};
 pub use orders::{Order, OrderAction, OrderBook, OrderCommand, OrderId, OrderReply};
+pub use published::{PublishReply, PublishedTraffic, SharedTraffic};
 pub use update::{AppliedConfiguration, ConfigurationUpdate};
 pub use view::{ClusterView, MachineState, NodeReport, NodeStatus, ViewVersion};
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -1,7 +1,7 @@
 //! The view of the cluster that flows from the leader to every node.
 
 use serde::{Deserialize, Serialize};
-use silversail_model::{NodeName, Revision};
+use silversail_model::{NodeName, Revision, TrafficVersion};
 
 /// What a machine's state is, by some version of the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,6 +31,8 @@
     pub serving: bool,
     /// Revision in force on it.
     pub revision: Option<Revision>,
+    /// Version of the traffic configuration in force on it.
+    pub traffic: Option<TrafficVersion>,
     /// Machines whose state the view lacks or has from an older list.
     pub machines: Vec<MachineState>,
 }
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -24,6 +24,7 @@
         stopping,
         serving: true,
         revision: Some(1),
+        traffic: None,
         machines: Vec::new(),
     }
 }
--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -3,6 +3,9 @@
 
 use crate::calls::{Calls, OrderSender};
 use crate::clock::Clock;
+use crate::directory::SharedDirectory;
+use crate::discovery::DiscoveryActor;
+use crate::gateway::{GatewayActor, GatewayCalls, GatewaySetup};
 use crate::metrics::Metrics;
 use crate::node::NodeError;
 use crate::orders::{OrderActor, OrderSetup};
@@ -14,15 +17,17 @@
 use silversail_consensus::{ReplicaId, StateMachine, StoredState};
 use silversail_control::configuration_state::HistoryEntry;
 use silversail_control::ControlState;
+use silversail_decisions::DecisionLog;
 use silversail_ledger::LedgerState;
 use silversail_model::NodeName;
 use silversail_peer::{Envelope, GroupId, GroupMessage, PeerMessage, SessionMessage};
-use stakker::{actor, call, fwd_nop, fwd_to, ret_nop, ActorOwn, Fwd, Stakker};
+use silversail_serving::ports::Protocols;
+use stakker::{actor, call, fwd, fwd_do, fwd_nop, fwd_to, ret_nop, ActorOwn, Fwd, Stakker};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What a node's actors share.
 #[derive(Clone)]
@@ -33,8 +38,12 @@
     pub outbox: SharedOutbox,
     /// What the node has in force.
     pub state: SharedNodeState,
+    /// The nodes that it knows.
+    pub directory: SharedDirectory,
     /// Counters.
     pub metrics: Arc<Metrics>,
+    /// Decisions.
+    pub log: DecisionLog,
     /// Time.
     pub clock: Clock,
 }
@@ -49,6 +58,14 @@
     pub writer: Box<dyn LogWriter>,
 }
 
+/// What the gateway needs of its process.
+pub struct GatewayPorts {
+    /// The outside protocols.
+    pub protocols: Protocols,
+    /// Calls to back ends.
+    pub calls: Box<dyn GatewayCalls>,
+}
+
 /// What differs between real and simulated nodes.
 pub trait Platform {
     /// Opens what a replica of `group` has stored.
@@ -62,6 +79,11 @@
 
     /// Sends orders to engines; none where no orders are given.
     fn order_sender(&self) -> Option<Box<dyn OrderSender>>;
+
+    /// What the gateway needs; none on a node without one.
+    fn gateway(&self) -> Option<GatewayPorts> {
+        None
+    }
 }
 
 /// The replicas of a voter.
@@ -78,21 +100,29 @@
     pub voter: Option<VoterActors>,
     /// Proposes to the control group.
     pub control_proposer: ActorOwn<ProposerActor>,
+    /// Finds the other nodes.
+    pub discovery: ActorOwn<DiscoveryActor>,
     /// Keeps the node in step.
     pub session: ActorOwn<SessionActor>,
     /// Serves requests.
     pub requests: Option<ActorOwn<RequestActor>>,
     /// Orders engines.
     pub orders: Option<ActorOwn<OrderActor>>,
+    /// Serves pass-through requests.
+    pub gateway: Option<ActorOwn<GatewayActor>>,
     /// Status of the replicas.
     pub statuses: BTreeMap<GroupId, SharedStatus>,
     ledger_proposers: Vec<ActorOwn<ProposerActor>>,
+    directory: SharedDirectory,
+    clock: Clock,
 }
 
 impl NodeActors {
     /// Hands a message to the actor that it is for.
-    pub fn deliver(&self, envelope: Envelope) {
+    pub fn deliver(&self, envelope: Envelope, now: Instant) {
         let from = envelope.from;
+        let now = self.clock.millis(now);
+        self.directory.borrow_mut().heard(&from, now);
         match envelope.message {
             PeerMessage::Group { group, message } => self.deliver_to_group(group, from, message),
             PeerMessage::Session(SessionMessage::Reply(reply)) => {
@@ -101,7 +131,16 @@
             PeerMessage::Session(SessionMessage::Push(update)) => {
                 call!([self.session], push(update));
             }
+            PeerMessage::Session(SessionMessage::PushTraffic(traffic)) => {
+                call!([self.session], push_traffic(traffic));
+            }
             PeerMessage::Session(message) => self.deliver_to_relay(from, message),
+            PeerMessage::Discovery(message) => call!([self.discovery], message(from, message)),
+            PeerMessage::Work(message) => {
+                if let Some(gateway) = &self.gateway {
+                    call!([gateway], work(from, message));
+                }
+            }
         }
     }
 
@@ -117,7 +156,8 @@
                 call!([voter.relay], reports(from, reports, view));
             }
             SessionMessage::View(view) => call!([voter.relay], view(view)),
-            SessionMessage::Reply(_) | SessionMessage::Push(_) => {}
+            SessionMessage::Reply(_) | SessionMessage::Push(_) | SessionMessage::PushTraffic(_) => {
+            }
         }
     }
 
@@ -210,16 +250,22 @@
             .map(|part| self.proposer(GroupId::Ledger(part)))
             .collect();
         let requests = self.requests(&ledger_proposers);
-        let session = self.session(requests.as_ref());
+        let gateway = self.gateway(&control_proposer);
+        let session = self.session(requests.as_ref(), gateway.as_ref());
         let orders = voter
             .as_ref()
             .and_then(|voter| self.orders(voter, &control_proposer));
+        let discovery = self.discovery();
         Ok(NodeActors {
+            discovery,
+            directory: self.context.directory,
+            clock: self.context.clock,
             voter,
             control_proposer,
             session,
             requests,
             orders,
+            gateway,
             statuses: self.statuses,
             ledger_proposers,
         })
@@ -233,7 +279,7 @@
         let settings = self.context.settings.clone();
         let machine = Rc::new(RefCell::new(ControlState::default()));
         let setup = RelaySetup {
-            voters: settings.cluster.voters.clone(),
+            directory: self.context.directory.clone(),
             machine: machine.clone(),
             status: self.status_of(GroupId::Control),
             outbox: self.context.outbox.clone(),
@@ -269,7 +315,7 @@
             group,
             node: settings.node.clone(),
             replica: files.identity,
-            voters: settings.cluster.voters.clone(),
+            directory: self.context.directory.clone(),
             stored: files.stored,
             config: settings.consensus_config(),
             seed: self.platform.seed(),
@@ -287,13 +333,24 @@
         ))
     }
 
+    fn discovery(&mut self) -> ActorOwn<DiscoveryActor> {
+        let context = &self.context;
+        let (directory, outbox) = (context.directory.clone(), context.outbox.clone());
+        let clock = context.clock;
+        actor!(
+            self.stakker,
+            DiscoveryActor::init(directory, outbox, clock),
+            ret_nop!()
+        )
+    }
+
     fn proposer(&mut self, group: GroupId) -> ActorOwn<ProposerActor> {
-        let voters = self.context.settings.cluster.voters.clone();
+        let directory = self.context.directory.clone();
         let outbox = self.context.outbox.clone();
         let metrics = self.context.metrics.clone();
         actor!(
             self.stakker,
-            ProposerActor::init(group, voters, outbox, metrics),
+            ProposerActor::init(group, directory, outbox, metrics),
             ret_nop!()
         )
     }
@@ -315,16 +372,45 @@
         Some(actor!(self.stakker, RequestActor::init(setup), ret_nop!()))
     }
 
-    fn session(&mut self, requests: Option<&ActorOwn<RequestActor>>) -> ActorOwn<SessionActor> {
-        let on_change = match requests {
+    fn gateway(&mut self, proposer: &ActorOwn<ProposerActor>) -> Option<ActorOwn<GatewayActor>> {
+        let ports = self.platform.gateway()?;
+        let context = &self.context;
+        let setup = GatewaySetup {
+            settings: context.settings.gateway.clone()?,
+            zone: context.settings.own_node().zone.clone(),
+            state: context.state.clone(),
+            outbox: context.outbox.clone(),
+            proposer: (**proposer).clone(),
+            protocols: ports.protocols,
+            calls: ports.calls,
+            log: context.log.clone(),
+            metrics: context.metrics.clone(),
+            clock: context.clock,
+        };
+        Some(actor!(self.stakker, GatewayActor::init(setup), ret_nop!()))
+    }
+
+    fn session(
+        &mut self,
+        requests: Option<&ActorOwn<RequestActor>>,
+        gateway: Option<&ActorOwn<GatewayActor>>,
+    ) -> ActorOwn<SessionActor> {
+        let tell_requests: Fwd<()> = match requests {
             Some(requests) => fwd_to!([requests], node_state_changed() as ()),
             None => fwd_nop!(),
         };
+        let tell_gateway: Fwd<()> = match gateway {
+            Some(gateway) => fwd_to!([gateway], node_state_changed() as ()),
+            None => fwd_nop!(),
+        };
+        let on_change = fwd_do!(move |_: ()| {
+            fwd!([tell_requests], ());
+            fwd!([tell_gateway], ());
+        });
         let context = &self.context;
         let settings = &context.settings;
         let setup = SessionSetup {
-            relays: settings.cluster.voters.clone(),
-            first_relay: settings.first_relay(),
+            directory: context.directory.clone(),
             zone: settings.own_node().zone.clone(),
             caller_address: settings.own_node().callers.clone(),
             heartbeat: Duration::from_millis(settings.timing.session_heartbeat_ms),
--- /dev/null
+++ b/crates/daemon/src/discovery.rs
@@ -0,0 +1,187 @@
+//! The actor that finds the other nodes, keeps their contacts, and renews
+//! connections to those that have gone silent.
+
+use crate::clock::Clock;
+use crate::directory::SharedDirectory;
+use crate::outbox::SharedOutbox;
+use rand::seq::SliceRandom;
+use silversail_consensus::Millis;
+use silversail_model::NodeName;
+use silversail_peer::{DiscoveryMessage, HeardContact, PeerMessage};
+use stakker::{after, CX};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Interval of the actor.
+const TICK: Duration = Duration::from_millis(250);
+/// While this young, a process asks all contact addresses at each tick.
+const EAGER_TICKS: u64 = 16;
+/// Later it asks one contact address and one known node each so many ticks.
+const TICKS_PER_HELLO: u64 = 8;
+/// Silence after which a replicating node is asked for a sign, in milliseconds.
+const ASK_AFTER: Millis = 1_000;
+/// Silence after which its connection is given up for a new one.
+const RECONNECT_AFTER: Millis = 1_800;
+/// Least time between two new connections to one node, in milliseconds.
+const RECONNECT_INTERVAL: Millis = 1_000;
+
+/// Finds the other nodes.
+pub struct DiscoveryActor {
+    directory: SharedDirectory,
+    outbox: SharedOutbox,
+    clock: Clock,
+    ticks: u64,
+    reconnected_at: BTreeMap<NodeName, Millis>,
+}
+
+impl DiscoveryActor {
+    /// Starts asking.
+    pub fn init(
+        cx: CX![],
+        directory: SharedDirectory,
+        outbox: SharedOutbox,
+        clock: Clock,
+    ) -> Option<Self> {
+        after!(Duration::ZERO, [cx], tick());
+        Some(Self {
+            directory,
+            outbox,
+            clock,
+            ticks: 0,
+            reconnected_at: BTreeMap::new(),
+        })
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        if !self.directory.borrow().is_discovering() {
+            return;
+        }
+        after!(TICK, [cx], tick());
+        let now = self.clock.millis(cx.now());
+        if self.ticks < EAGER_TICKS {
+            self.ask_all_addresses();
+        } else if self.ticks.is_multiple_of(TICKS_PER_HELLO) {
+            self.ask_some();
+        }
+        self.ticks += 1;
+        for node in self.directory.borrow_mut().forget_silent(now) {
+            log::info!(event = "node_forgotten", node = node.as_str(); "no sign of the node for long");
+        }
+        self.renew_connections(now);
+    }
+
+    fn ask_all_addresses(&mut self) {
+        let addresses = self.directory.borrow().contact_addresses().to_vec();
+        for address in addresses {
+            self.ask_address(address);
+        }
+    }
+
+    fn ask_some(&mut self) {
+        let mut random = rand::thread_rng();
+        let (address, node) = {
+            let directory = self.directory.borrow();
+            let address = directory.contact_addresses().choose(&mut random).cloned();
+            let silences = directory.silences(0);
+            (address, silences.choose(&mut random).cloned())
+        };
+        if let Some(address) = address {
+            self.ask_address(address);
+        }
+        if let Some((node, _)) = node {
+            self.ask_node(&node);
+        }
+    }
+
+    fn hello(&self, sent_to: String) -> PeerMessage {
+        let contact = self.directory.borrow().own().clone();
+        PeerMessage::Discovery(DiscoveryMessage::Hello { contact, sent_to })
+    }
+
+    fn ask_address(&mut self, address: String) {
+        if address == self.directory.borrow().own().peer_address {
+            self.directory.borrow_mut().address_answered(address);
+            return;
+        }
+        let hello = self.hello(address.clone());
+        self.outbox.borrow_mut().send_to_address(&address, hello);
+    }
+
+    fn ask_node(&mut self, node: &NodeName) {
+        let hello = self.hello(String::new());
+        self.outbox.borrow_mut().send(node, hello);
+    }
+
+    /// A connection to a machine that was cut off or lost power may hang; the
+    /// replicating nodes, which everything waits for, are dialled anew.
+    fn renew_connections(&mut self, now: Millis) {
+        let replicating = self.directory.borrow().replicating();
+        let silences = self.directory.borrow().silences(now);
+        for (node, silence) in silences {
+            if !replicating.contains(&node) || silence < ASK_AFTER {
+                continue;
+            }
+            let last = self.reconnected_at.get(&node).copied().unwrap_or_default();
+            if silence >= RECONNECT_AFTER && now.saturating_sub(last) >= RECONNECT_INTERVAL {
+                self.reconnected_at.insert(node.clone(), now);
+                self.outbox.borrow_mut().reconnect(&node);
+                log::info!(event = "peer_silent", node = node.as_str(), silence_ms = silence; "connection renewed");
+            }
+            self.ask_node(&node);
+        }
+    }
+
+    /// A message of another node.
+    pub fn message(&mut self, cx: CX![], from: NodeName, message: DiscoveryMessage) {
+        let now = self.clock.millis(cx.now());
+        match message {
+            DiscoveryMessage::Hello { contact, sent_to } => {
+                self.hear(
+                    HeardContact {
+                        contact,
+                        heard_ago_ms: 0,
+                    },
+                    now,
+                );
+                let directory = self.directory.borrow();
+                let known = DiscoveryMessage::Known {
+                    contact: directory.own().clone(),
+                    sent_to,
+                    others: directory.others(now),
+                };
+                self.outbox
+                    .borrow_mut()
+                    .send(&from, PeerMessage::Discovery(known));
+            }
+            DiscoveryMessage::Known {
+                contact,
+                sent_to,
+                others,
+            } => {
+                self.directory.borrow_mut().address_answered(sent_to);
+                self.hear(
+                    HeardContact {
+                        contact,
+                        heard_ago_ms: 0,
+                    },
+                    now,
+                );
+                for other in others {
+                    self.hear(other, now);
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, heard: HeardContact, now: Millis) {
+        let HeardContact {
+            contact,
+            heard_ago_ms,
+        } = heard;
+        let (node, address) = (contact.node.clone(), contact.peer_address.clone());
+        if self.directory.borrow_mut().hear(contact, heard_ago_ms, now) {
+            log::info!(event = "node_found", node = node.as_str(), address = address.as_str(); "a node was found");
+            self.outbox.borrow_mut().learn(&node, &address);
+        }
+    }
+}
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -1,5 +1,6 @@
 //! What reaches the main thread of a process from its other threads.
 
+use crate::gateway::GatewayEvent;
 use crate::requests::active::{CallerRequest, RequestNumber};
 use crate::surface::operators::{OperatorReply, OperatorRequest};
 use silversail_backend::{CallFailure, EngineLoad, MachineList, StageOutput};
@@ -84,6 +85,10 @@
         /// Where the answer goes.
         reply: SyncSender<OperatorReply>,
     },
+    /// Something of the gateway.
+    Gateway(GatewayEvent),
+    /// The settings may have changed.
+    Reload,
     /// The process shall stop as planned.
     Terminate,
 }
--- /dev/null
+++ b/crates/daemon/src/gateway/calls.rs
@@ -0,0 +1,231 @@
+//! Calls of the gateway to back ends that no caller's task makes: batches, freed
+//! results, the list of back ends.
+
+use crate::event::{Event, EventSender};
+use crate::gateway::event::GatewayEvent;
+use crate::settings::GatewaySettings;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use silversail_http::ConnectionPool;
+use silversail_model::traffic::CallerLimits;
+use silversail_serving::batcher::{BatchCall, CallOutcome};
+use silversail_serving::ports::{BackendCall, ListedInstance, Protocols};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Longest wait for a connection to a back end.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for a batch: a call, and those that may wait before it.
+const BATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longest wait for other calls.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Largest answer to such a call, in bytes.
+const MAX_ANSWER: usize = 4 << 20;
+/// Shortest time between two reads of the list by one node.
+const LIST_INTERVAL: Duration = Duration::from_millis(900);
+/// Wait after a read of the list failed.
+const LIST_RETRY: Duration = Duration::from_millis(300);
+/// Processes that may read the list, for the share of its rate that each uses.
+const LIST_READERS: f64 = 24.0;
+
+/// Calls to back ends, whose ends are told as events.
+pub trait GatewayCalls {
+    /// Makes a batch call.
+    fn run_batch(&self, batch: BatchCall, request: BackendCall);
+
+    /// Frees results at the back end at `address`.
+    fn free(&self, address: String, request: BackendCall);
+
+    /// Takes other limits on callers.
+    fn set_limits(&self, limits: CallerLimits);
+}
+
+/// What an answered call gave.
+pub struct CallAnswer {
+    /// Status.
+    pub status: u16,
+    /// Whether the back end says that it did not run the call.
+    pub not_run: bool,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Why a call gave nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// Nothing was sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// It may have run.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+}
+
+/// Makes calls on the gateway's runtime.
+#[derive(Clone)]
+pub struct RuntimeCalls {
+    /// The runtime.
+    pub runtime: Handle,
+    /// Connections to back ends.
+    pub pool: ConnectionPool,
+    /// The outside protocols.
+    pub protocols: Protocols,
+    /// Where ends of calls are told.
+    pub events: EventSender,
+    /// Where limits on callers go.
+    pub limits: Arc<watch::Sender<Option<CallerLimits>>>,
+}
+
+impl GatewayCalls for RuntimeCalls {
+    fn run_batch(&self, batch: BatchCall, request: BackendCall) {
+        let calls = self.clone();
+        self.runtime.spawn(async move {
+            let answer = calls.call(&batch.address, request, BATCH_TIMEOUT).await;
+            let outcome = calls.batch_outcome(answer, batch.pieces.len());
+            let call = batch.call;
+            calls.tell(GatewayEvent::BatchEnded { call, outcome });
+        });
+    }
+
+    fn free(&self, address: String, request: BackendCall) {
+        let calls = self.clone();
+        self.runtime.spawn(async move {
+            // Results that are not freed end by themselves.
+            let _ = calls.call(&address, request, CALL_TIMEOUT).await;
+        });
+    }
+
+    fn set_limits(&self, limits: CallerLimits) {
+        self.limits.send_replace(Some(limits));
+    }
+}
+
+impl RuntimeCalls {
+    fn tell(&self, event: GatewayEvent) {
+        // The main thread is gone only when the process ends.
+        let _ = self.events.send(Event::Gateway(event));
+    }
+
+    fn batch_outcome(&self, answer: Result<CallAnswer, CallError>, pieces: usize) -> CallOutcome {
+        match answer {
+            Ok(answer) if answer.not_run => CallOutcome::NotRun,
+            Ok(answer) if answer.status == 200 => {
+                match self.protocols.batches.read_run(&answer.body, pieces) {
+                    Some(results) => CallOutcome::Answered(results),
+                    None => CallOutcome::Unknown,
+                }
+            }
+            Err(CallError::NotSent(_)) => CallOutcome::NotRun,
+            Ok(_) | Err(CallError::NoAnswer(_)) => CallOutcome::Unknown,
+        }
+    }
+
+    /// Makes a call and reads its whole answer.
+    pub async fn call(
+        &self,
+        address: &str,
+        call: BackendCall,
+        longest: Duration,
+    ) -> Result<CallAnswer, CallError> {
+        timeout(longest, self.exchange(address, call))
+            .await
+            .unwrap_or_else(|_| Err(CallError::NoAnswer("time over".into())))
+    }
+
+    async fn exchange(&self, address: &str, call: BackendCall) -> Result<CallAnswer, CallError> {
+        let not_sent = |error: std::io::Error| CallError::NotSent(error.to_string());
+        let mut connection = match self.pool.take_idle(address) {
+            Some(connection) => connection,
+            None => {
+                let connecting = self.pool.connect(address, CONNECT_TIMEOUT);
+                connecting.await.map_err(not_sent)?
+            }
+        };
+        let request = build(address, &call);
+        let response = match connection.send(request).await {
+            Ok(response) => response,
+            Err(silversail_http::SendError::NotSent(_)) => {
+                let connecting = self.pool.connect(address, CONNECT_TIMEOUT);
+                connection = connecting.await.map_err(not_sent)?;
+                let again = connection.send(build(address, &call)).await;
+                again.map_err(|error| CallError::NoAnswer(error.to_string()))?
+            }
+            Err(error) => return Err(CallError::NoAnswer(error.to_string())),
+        };
+        connection.note_head(response.headers());
+        let status = response.status().as_u16();
+        let head = self
+            .protocols
+            .requests
+            .read_answer(status, response.headers(), "");
+        let body = Limited::new(response.into_body(), MAX_ANSWER);
+        let body = body
+            .collect()
+            .await
+            .map_err(|error| CallError::NoAnswer(error.to_string()))?;
+        connection.keep();
+        Ok(CallAnswer {
+            status,
+            not_run: head.not_run,
+            body: body.to_bytes(),
+        })
+    }
+
+    /// Reads the list of back ends for ever.
+    pub async fn follow_list(self, settings: GatewaySettings) {
+        let share = settings.backend_list_rate / LIST_READERS;
+        let interval = LIST_INTERVAL.max(Duration::from_secs_f64(1.0 / share.max(0.05)));
+        loop {
+            let wait = match self.read_list(&settings.backend_list).await {
+                Ok(listed) => {
+                    let addresses: std::collections::BTreeSet<String> =
+                        listed.iter().map(|one| one.address.clone()).collect();
+                    self.pool.trim(|address| {
+                        address == settings.backend_list || addresses.contains(address)
+                    });
+                    self.tell(GatewayEvent::Listed(listed));
+                    interval
+                }
+                Err(why) => {
+                    self.tell(GatewayEvent::ListFailed(why));
+                    LIST_RETRY
+                }
+            };
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    async fn read_list(&self, address: &str) -> Result<Vec<ListedInstance>, String> {
+        let mut listed = Vec::new();
+        let mut page: Option<String> = None;
+        loop {
+            let call = self.protocols.list.list_call(page.as_deref());
+            let answer = self.call(address, call, CALL_TIMEOUT).await;
+            let answer = answer.map_err(|error| error.to_string())?;
+            if answer.status != 200 {
+                return Err(format!("status {}", answer.status));
+            }
+            let read = self.protocols.list.read_list(&answer.body);
+            let read = read.ok_or("the page can't be read")?;
+            listed.extend(read.instances);
+            page = read.next;
+            if page.is_none() {
+                return Ok(listed);
+            }
+        }
+    }
+}
+
+fn build(address: &str, call: &BackendCall) -> hyper::Request<Full<Bytes>> {
+    let mut request = hyper::Request::builder()
+        .method(call.method.clone())
+        .uri(&call.path)
+        .header(hyper::header::HOST, address)
+        .body(Full::new(Bytes::from(call.body.clone())))
+        .expect("paths are made by the adapters and valid");
+    request.headers_mut().extend(call.headers.clone());
+    request
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/event.rs
@@ -0,0 +1,99 @@
+//! What the gateway's tasks tell its actor, and what they are told.
+
+use silversail_control::{PublishReply, PublishedTraffic};
+use silversail_model::ResultCode;
+use silversail_serving::batcher::{CallId, CallOutcome};
+use silversail_serving::dispatcher::{Refusal, RequestNumber, SendOutcome, SendPlan};
+use silversail_serving::ports::{CallAttributes, ListedInstance, ReportedLoad};
+use tokio::sync::{mpsc, oneshot};
+
+/// What a request's task is to do.
+#[derive(Debug)]
+pub enum Decision {
+    /// Answer the caller and end.
+    Answer(Refusal),
+    /// Send the request, and tell what came of it.
+    Send(Box<SendPlan>),
+}
+
+/// What the gateway's tasks tell.
+pub enum GatewayEvent {
+    /// A request arrived.
+    Arrived {
+        /// Its number.
+        number: RequestNumber,
+        /// What routing needs to know.
+        call: Box<CallAttributes>,
+        /// Where decisions go.
+        decisions: mpsc::UnboundedSender<Decision>,
+    },
+    /// The head of an answer came.
+    HeadReceived {
+        /// The request.
+        number: RequestNumber,
+        /// Load that the engine told.
+        load: Option<ReportedLoad>,
+    },
+    /// A send ended.
+    SendEnded {
+        /// The request.
+        number: RequestNumber,
+        /// What came of it.
+        outcome: SendOutcome,
+        /// Load that the engine told.
+        load: Option<ReportedLoad>,
+    },
+    /// The caller of a request left.
+    CallerGone {
+        /// The request.
+        number: RequestNumber,
+    },
+    /// A batch call ended.
+    BatchEnded {
+        /// The call.
+        call: CallId,
+        /// What came of it.
+        outcome: CallOutcome,
+    },
+    /// The whole list of back ends was read.
+    Listed(Vec<ListedInstance>),
+    /// The list of back ends could not be read.
+    ListFailed(String),
+    /// A question of the operator, the platform or a caller.
+    Surface {
+        /// The question.
+        request: SurfaceRequest,
+        /// Where the answer goes.
+        reply: oneshot::Sender<SurfaceReply>,
+    },
+}
+
+/// Questions of the operator, the platform and callers.
+pub enum SurfaceRequest {
+    /// Publish a traffic configuration.
+    Publish(Box<PublishedTraffic>),
+    /// Read the traffic configuration.
+    ReadTraffic,
+    /// Whether this process is ready.
+    Readiness,
+    /// Which addresses to use.
+    EntryPoints {
+        /// Zone of the caller.
+        zone: Option<String>,
+    },
+}
+
+/// Answers to [`SurfaceRequest`].
+#[derive(Debug)]
+pub enum SurfaceReply {
+    /// The publication is committed.
+    Published(PublishReply),
+    /// The document in force.
+    Traffic(Vec<u8>),
+    /// Ready.
+    Ready,
+    /// The addresses to use.
+    EntryPoints(Vec<String>),
+    /// No answer can be given now.
+    Unavailable(ResultCode),
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,19 @@
+//! The gateway: pass-through requests from callers to back ends.
+//!
+//! [`GatewayActor`] owns all state and decides; tasks on the server's runtime do
+//! the I/O and ask it. Chunks of answers go from back end to caller inside such a
+//! task and do not pass the actor's thread.
+
+pub mod actor;
+pub mod callers;
+pub mod calls;
+pub mod event;
+pub mod exchange;
+pub mod owners;
+pub mod runtime;
+pub mod surface;
+pub mod works;
+
+pub use actor::{GatewayActor, GatewaySetup};
+pub use calls::GatewayCalls;
+pub use event::{Decision, GatewayEvent, SurfaceReply, SurfaceRequest};
--- /dev/null
+++ b/crates/daemon/src/gateway/works.rs
@@ -0,0 +1,75 @@
+//! Orders of work that this node gave to batching nodes, until they are answered.
+
+use silversail_consensus::Millis;
+use silversail_model::NodeName;
+use silversail_peer::{PhaseWork, WorkId};
+use std::collections::BTreeMap;
+
+/// An order that is not answered for so long is given again, in milliseconds.
+const RESUBMIT_AFTER: Millis = 1_200;
+
+struct Submitted {
+    owner: NodeName,
+    phase: PhaseWork,
+    at: Millis,
+    end: Millis,
+}
+
+/// Orders under way.
+#[derive(Default)]
+pub struct Works {
+    submitted: BTreeMap<WorkId, Submitted>,
+}
+
+impl Works {
+    /// An order was given to `owner`.
+    pub fn submitted(&mut self, work: WorkId, owner: NodeName, phase: PhaseWork, now: Millis) {
+        let submitted = Submitted {
+            owner,
+            end: now + phase.remaining_ms,
+            phase,
+            at: now,
+        };
+        self.submitted.insert(work, submitted);
+    }
+
+    /// An order ended. Returns who had it.
+    pub fn ended(&mut self, work: WorkId) -> Option<NodeName> {
+        Some(self.submitted.remove(&work)?.owner)
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.submitted.is_empty()
+    }
+
+    /// Orders to be given again at `now`: those whose owner, by `is_live`, is gone,
+    /// and those that were not answered for long.
+    pub fn due(&mut self, now: Millis, is_live: impl Fn(&NodeName) -> bool) -> Vec<WorkId> {
+        self.submitted
+            .iter()
+            .filter(|(_, one)| {
+                let is_silent = now.saturating_sub(one.at) >= RESUBMIT_AFTER;
+                one.end > now && (is_silent || !is_live(&one.owner))
+            })
+            .map(|(work, _)| *work)
+            .collect()
+    }
+
+    /// The service, time left and former owner of an order that is given again.
+    pub fn renew(
+        &mut self,
+        work: WorkId,
+        owner_of: impl Fn(&str) -> NodeName,
+        now: Millis,
+    ) -> Option<(NodeName, NodeName, PhaseWork)> {
+        let submitted = self.submitted.get_mut(&work)?;
+        let waited = now.saturating_sub(submitted.at);
+        submitted.phase.remaining_ms = submitted.end.saturating_sub(now);
+        submitted.phase.wanted_in_ms = submitted.phase.wanted_in_ms.saturating_sub(waited);
+        submitted.at = now;
+        let former = submitted.owner.clone();
+        submitted.owner = owner_of(&submitted.phase.service);
+        Some((former, submitted.owner.clone(), submitted.phase.clone()))
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,7 +5,10 @@
 pub mod actors;
 pub mod calls;
 pub mod clock;
+pub mod directory;
+pub mod discovery;
 pub mod event;
+pub mod gateway;
 pub mod logging;
 pub mod metrics;
 pub mod node;
@@ -19,5 +22,5 @@
 pub mod stop;
 pub mod surface;
 
-pub use node::{Node, NodeError};
+pub use node::{Node, NodeError, NodeParts};
 pub use settings::{Settings, SettingsError};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,7 +1,7 @@
 //! `silversaild`: one process of a silversail cluster.
 
 use argh::FromArgs;
-use silversail_daemon::{logging, Node, Settings};
+use silversail_daemon::{logging, Node, NodeParts, Settings};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -16,7 +16,8 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    let settings = match Settings::load(&arguments.settings) {
+    let path = arguments.settings;
+    let settings = match Settings::load(&path) {
         Ok(settings) => settings,
         Err(error) => return fail(&error),
     };
@@ -24,7 +25,12 @@
         Ok(logger) => logger,
         Err(error) => return fail(&error),
     };
-    match Node::start(settings).and_then(Node::run) {
+    let parts = NodeParts {
+        settings,
+        settings_path: path,
+        protocols: silversail_platform::protocols(),
+    };
+    match Node::start(parts).and_then(Node::run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(event = "stopped", code = error.code.number(); "{error}");
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -8,7 +8,9 @@
 
 use crate::actors::NodeActors;
 use crate::clock::Clock;
+use crate::directory::SharedDirectory;
 use crate::event::Event;
+use crate::gateway::runtime::GatewayRuntime;
 use crate::metrics::Metrics;
 use crate::pollers::{EngineTargets, FEW_ENGINES};
 use crate::session::SharedNodeState;
@@ -17,12 +19,15 @@
 use crate::surface::entry_points::{self, EntryPointSettings};
 use silversail_backend::EngineLoad;
 use silversail_control::ViewVersion;
+use silversail_decisions::{DecisionLog, Event as LogEvent};
 use silversail_http::HttpServer;
 use silversail_model::{Backend, BackendKind, BackendName, ResultCode};
 use silversail_peer::GroupId;
 use silversail_routing::SlotTable;
+use silversail_serving::ports::Protocols;
 use silversail_storage::{FolderLock, StorageError};
 use stakker::{actor, call, ret_nop, ActorOwn, Stakker};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
@@ -33,6 +38,16 @@
 /// Most events taken in one go, so that timers are not kept waiting.
 const EVENTS_PER_TURN: usize = 256;
 
+/// What a process is started with.
+pub struct NodeParts {
+    /// Its settings.
+    pub settings: Settings,
+    /// Where they were read, to be read again.
+    pub settings_path: PathBuf,
+    /// The outside protocols of the gateway.
+    pub protocols: Protocols,
+}
+
 /// A running process.
 pub struct Node {
     settings: Arc<Settings>,
@@ -49,13 +64,17 @@
     /// Configuration revision and view that the load pollers follow.
     polled_state: Option<(Option<u64>, ViewVersion)>,
     failure: Option<NodeError>,
+    directory: SharedDirectory,
+    settings_path: PathBuf,
+    gateway: Option<Rc<GatewayRuntime>>,
+    log: DecisionLog,
     _lock: Option<FolderLock>,
 }
 
 impl Node {
     /// Opens the data folder, binds all addresses and starts.
-    pub fn start(settings: Settings) -> Result<Self, NodeError> {
-        start::start(settings)
+    pub fn start(parts: NodeParts) -> Result<Self, NodeError> {
+        start::start(parts)
     }
 
     /// Runs until a planned stop has ended, or a write failed.
@@ -91,7 +110,7 @@
     fn handle(&mut self, event: Event) {
         let requests = self.actors.requests.as_ref();
         match event {
-            Event::Peer(envelope) => self.actors.deliver(envelope),
+            Event::Peer(envelope) => self.actors.deliver(envelope, Instant::now()),
             Event::Synced { group, count } => self.actors.synced(group, count),
             Event::StorageFailed { group, error } => self.storage_failed(group, error),
             Event::Caller(request) => {
@@ -142,6 +161,12 @@
                 call!([session], machine_list(list));
             }
             Event::Operator { request, reply } => self.operator(request, reply),
+            Event::Gateway(event) => {
+                if let Some(gateway) = &self.actors.gateway {
+                    call!([gateway], event(event));
+                }
+            }
+            Event::Reload => self.reload(),
             Event::Terminate => self.terminate(),
         }
     }
@@ -193,11 +218,30 @@
         }
     }
 
+    /// Takes what may change while the process runs: contact addresses.
+    fn reload(&mut self) {
+        let Ok(settings) = Settings::load(&self.settings_path) else {
+            log::warn!(event = "reload_failed"; "the settings can't be read; the former ones stay");
+            return;
+        };
+        let Some(discovery) = settings.discovery else {
+            return;
+        };
+        let addresses = discovery.contact_addresses();
+        let change = format!("contact_addresses={}", addresses.join(","));
+        if self.directory.borrow_mut().set_contact_addresses(addresses) {
+            self.log.record(LogEvent::Reloaded { change });
+        }
+    }
+
     fn terminate(&mut self) {
         if self.stop.is_some() {
             return;
         }
         log::info!(event = "stopping"; "planned stop");
+        if let Some(gateway) = &self.gateway {
+            gateway.begin_stop();
+        }
         let setup = StopSetup {
             node: self.settings.node.clone(),
             timing: self.settings.timing.clone(),
@@ -205,6 +249,9 @@
             session: self.actors.session.clone(),
             metrics: self.metrics.clone(),
             server: self.server.clone(),
+            gateway: self.gateway.clone(),
+            stop_grace: self.settings.gateway.as_ref().map(|one| one.stop_grace_ms),
+            log: self.log.clone(),
             hand_over: self.actors.hand_overs(),
         };
         let stop = actor!(&mut self.stakker, StopActor::init(setup), ret_nop!());
--- a/crates/daemon/src/node/operators.rs
+++ b/crates/daemon/src/node/operators.rs
@@ -51,7 +51,7 @@
             None => OperatorReply::refuse(
                 ResultCode::NotAVoter,
                 "the history is kept by voters; ask one of them",
-                json!({ "voters": self.settings.cluster.voters }),
+                json!({ "voters": self.directory.borrow().replicating() }),
             ),
         }
     }
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -1,23 +1,27 @@
 //! How a process starts: data folder, sockets, actors, surfaces, pollers.
 
-use super::{Node, NodeError};
-use crate::actors::{ActorBuilder, ActorContext, Platform, ReplicaFiles};
+use super::{Node, NodeError, NodeParts};
+use crate::actors::{ActorBuilder, ActorContext, GatewayPorts, Platform, ReplicaFiles};
 use crate::calls::{CallRunner, Calls, OrderSender};
 use crate::clock::{wall_clock_ms, Clock};
 use crate::event::{Event, EventSender};
+use crate::gateway::calls::RuntimeCalls;
+use crate::gateway::runtime::GatewayRuntime;
 use crate::metrics::Metrics;
 use crate::outbox::{Outbox, SharedOutbox};
 use crate::pollers::{start_load_pollers, start_platform_poller, EngineTargets};
 use crate::replica::StorageWriter;
 use crate::session::SharedNodeState;
-use crate::settings::Settings;
+use crate::settings::{GatewaySettings, Settings};
 use crate::surface::callers::CallerHandler;
 use crate::surface::operators;
 use silversail_backend::Agents;
 use silversail_consensus::ReplicaId;
+use silversail_decisions::{DecisionLog, Event as LogEvent, LogLimits};
 use silversail_http::{HttpServer, HttpServerConfig};
 use silversail_model::ResultCode;
 use silversail_peer::{Envelope, GroupId, GroupMessage, NngTransport, PeerMessage};
+use silversail_serving::ports::Protocols;
 use silversail_storage::write_queue::WriteNotice;
 use silversail_storage::{FolderLock, ReplicaStore, WriteQueue};
 use stakker::Stakker;
@@ -28,9 +32,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Interval at which the settings file is looked at.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Starts a process.
-pub(super) fn start(settings: Settings) -> Result<Node, NodeError> {
-    let settings = Arc::new(settings);
+pub(super) fn start(parts: NodeParts) -> Result<Node, NodeError> {
+    let settings = Arc::new(parts.settings);
     let now = Instant::now();
     let (events, receiver) = channel();
     let metrics = Arc::new(Metrics::new());
@@ -40,12 +47,21 @@
         Some(folder) if settings.is_voter() => Some(FolderLock::acquire(folder)?),
         _ => None,
     };
+    let directory = settings.directory(incarnation, clock.millis(now));
+    let directory = Rc::new(RefCell::new(directory));
+    let log = start_decision_log(&settings)?;
     let outbox = open_outbox(&settings, &events, &metrics, incarnation)?;
     let agents = Agents::new();
+    let gateway = match &settings.gateway {
+        Some(gateway) => Some(start_gateway(gateway, &parts.protocols, &events, clock)?),
+        None => None,
+    };
     let mut platform = ProcessPlatform {
         data_folder: settings.data_folder.clone().unwrap_or_default(),
         events: events.clone(),
         calls: CallRunner::new(agents.clone(), events.clone()),
+        gateway: gateway.as_ref().map(|gateway| gateway.calls()),
+        protocols: parts.protocols,
     };
     let mut stakker = Stakker::new(now);
     let state = SharedNodeState::default();
@@ -53,15 +69,23 @@
         settings: settings.clone(),
         outbox,
         state: state.clone(),
+        directory: directory.clone(),
         metrics: metrics.clone(),
+        log: log.clone(),
         clock,
     };
     let actors = ActorBuilder::new(&mut stakker, context, &mut platform).build()?;
     let server = serve_callers(&settings, &events, &metrics)?;
     serve_operators(&settings, &events, &metrics)?;
     let engine_targets = start_pollers(&settings, &events, agents);
-    listen_to_signals(events)?;
-    log::info!(event = "started", node = settings.node.as_str(), incarnation = incarnation; "silversaild started");
+    listen_to_signals(events.clone())?;
+    if settings.discovery.is_some() {
+        watch_settings(parts.settings_path.clone(), events)?;
+    }
+    log.record(LogEvent::Started {
+        version: env!("CARGO_PKG_VERSION").to_owned(),
+        incarnation,
+    });
     Ok(Node {
         settings,
         stakker,
@@ -76,6 +100,10 @@
         engine_targets,
         polled_state: None,
         failure: None,
+        directory,
+        settings_path: parts.settings_path,
+        gateway: gateway.map(Rc::new),
+        log,
         _lock: lock,
     })
 }
@@ -85,6 +113,8 @@
     data_folder: PathBuf,
     events: EventSender,
     calls: CallRunner,
+    gateway: Option<RuntimeCalls>,
+    protocols: Protocols,
 }
 
 impl Platform for ProcessPlatform {
@@ -123,6 +153,34 @@
     fn order_sender(&self) -> Option<Box<dyn OrderSender>> {
         Some(Box::new(self.calls.clone()))
     }
+
+    fn gateway(&self) -> Option<GatewayPorts> {
+        Some(GatewayPorts {
+            protocols: self.protocols.clone(),
+            calls: Box::new(self.gateway.clone()?),
+        })
+    }
+}
+
+fn start_decision_log(settings: &Settings) -> Result<DecisionLog, NodeError> {
+    if !settings.log.decisions {
+        return Ok(DecisionLog::off());
+    }
+    let limits = LogLimits::default();
+    DecisionLog::start(settings.node.as_str(), limits, std::io::stdout())
+        .map_err(|error| NodeError::new(ResultCode::InvalidSettings, error))
+}
+
+fn start_gateway(
+    settings: &GatewaySettings,
+    protocols: &Protocols,
+    events: &EventSender,
+    clock: Clock,
+) -> Result<GatewayRuntime, NodeError> {
+    GatewayRuntime::start(settings, protocols, events, clock).map_err(|error| {
+        let message = format!("gateway {}: {error}", settings.callers);
+        NodeError::new(ResultCode::AddressInUse, message)
+    })
 }
 
 fn open_outbox(
@@ -206,6 +264,10 @@
 
 fn start_pollers(settings: &Settings, events: &EventSender, agents: Agents) -> EngineTargets {
     let targets = EngineTargets::default();
+    if settings.gateway.is_some() {
+        // The gateway's engines tell their loads with their answers.
+        return targets;
+    }
     let timing = &settings.timing;
     start_load_pollers(
         agents.clone(),
@@ -226,14 +288,19 @@
 }
 
 fn listen_to_signals(events: EventSender) -> Result<(), NodeError> {
-    use signal_hook::consts::{SIGINT, SIGTERM};
+    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
     let failed = |error: std::io::Error| NodeError::new(ResultCode::InvalidSettings, error);
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT]).map_err(failed)?;
+    let mut signals =
+        signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(failed)?;
     std::thread::Builder::new()
         .name("signals".into())
         .spawn(move || {
-            for _ in signals.forever() {
-                if events.send(Event::Terminate).is_err() {
+            for signal in signals.forever() {
+                let event = match signal {
+                    SIGHUP => Event::Reload,
+                    _ => Event::Terminate,
+                };
+                if events.send(event).is_err() {
                     return;
                 }
             }
@@ -242,6 +309,25 @@
         .map_err(failed)
 }
 
+/// Tells when the settings file changed: that may come without a signal.
+fn watch_settings(path: PathBuf, events: EventSender) -> Result<(), NodeError> {
+    let mut known = std::fs::read(&path).unwrap_or_default();
+    std::thread::Builder::new()
+        .name("settings-watch".into())
+        .spawn(move || loop {
+            std::thread::sleep(SETTINGS_INTERVAL);
+            let Ok(now) = std::fs::read(&path) else {
+                continue;
+            };
+            if now != known && events.send(Event::Reload).is_err() {
+                return;
+            }
+            known = now;
+        })
+        .map(drop)
+        .map_err(|error| NodeError::new(ResultCode::InvalidSettings, error))
+}
+
 /// The label under which a message is counted.
 fn message_kind(message: &PeerMessage) -> &'static str {
     match message {
@@ -251,5 +337,7 @@
             GroupMessage::Propose { .. } | GroupMessage::ProposeReply { .. } => "proposal",
         },
         PeerMessage::Session(_) => "session",
+        PeerMessage::Discovery(_) => "discovery",
+        PeerMessage::Work(_) => "work",
     }
 }
--- a/crates/daemon/src/outbox.rs
+++ b/crates/daemon/src/outbox.rs
@@ -54,18 +54,44 @@
 
     /// Sends a message; it may be lost.
     pub fn send(&mut self, to: &NodeName, message: PeerMessage) {
-        let envelope = Envelope {
+        let envelope = self.envelope(message);
+        if *to == self.node {
+            (self.loopback)(envelope);
+            return;
+        }
+        let result = self.transport.send(to, &envelope);
+        self.count(result);
+    }
+
+    /// Sends a message to an address of which no node is known; it may be lost.
+    pub fn send_to_address(&mut self, address: &str, message: PeerMessage) {
+        let envelope = self.envelope(message);
+        let result = self.transport.send_to_address(address, &envelope);
+        self.count(result);
+    }
+
+    /// Learns where a node is reached.
+    pub fn learn(&mut self, node: &NodeName, address: &str) {
+        self.transport.learn(node, address);
+    }
+
+    /// Gives up the connection to a silent node for a new one.
+    pub fn reconnect(&mut self, node: &NodeName) {
+        self.transport.reconnect(node);
+    }
+
+    fn envelope(&self, message: PeerMessage) -> Envelope {
+        Envelope {
             version: PROTOCOL_VERSION,
             cluster: self.cluster.clone(),
             from: self.node.clone(),
             incarnation: self.incarnation,
             message,
-        };
-        if *to == self.node {
-            (self.loopback)(envelope);
-            return;
         }
-        let result = match self.transport.send(to, &envelope) {
+    }
+
+    fn count(&self, result: SendResult) {
+        let result = match result {
             SendResult::Queued => "queued",
             SendResult::Dropped => "dropped",
             SendResult::UnknownPeer => "unknown_peer",
--- a/crates/daemon/src/replica/actor.rs
+++ b/crates/daemon/src/replica/actor.rs
@@ -2,6 +2,7 @@
 //! consensus state machine and carries out what comes out.
 
 use crate::clock::Clock;
+use crate::directory::SharedDirectory;
 use crate::outbox::SharedOutbox;
 use crate::replica::formation::{Formation, FormationStep};
 use crate::replica::log_writer::LogWriter;
@@ -29,6 +30,9 @@
 /// A new leader waits so many rounds for join requests before it takes a learner
 /// for gone: about five seconds.
 const ROUNDS_BEFORE_DROP: u64 = 20;
+/// Silence after which a voter gives its place to a new node that is ready, in
+/// milliseconds.
+const VOTER_SILENCE: Millis = 2_500;
 /// Least applied entries after which a snapshot replaces the log.
 const COMPACT_AFTER_ENTRIES: usize = 2_000;
 /// A snapshot of so many bytes is worth one more entry of the log, so that a
@@ -45,8 +49,8 @@
     pub node: NodeName,
     /// Identity of its stored state.
     pub replica: ReplicaId,
-    /// Nodes that form the group.
-    pub voters: Vec<NodeName>,
+    /// Knows the nodes that form the group.
+    pub directory: SharedDirectory,
     /// What was stored; none when the folder was empty.
     pub stored: Option<StoredState>,
     /// Timing.
@@ -119,7 +123,7 @@
             None => State::Forming(Formation::new(
                 setup.node.clone(),
                 setup.replica,
-                setup.voters.clone(),
+                setup.directory.borrow().replicating(),
             )),
         };
         after!(TICK, [cx], tick());
@@ -147,7 +151,7 @@
             replica.tick(now);
         }
         if self.ticks.is_multiple_of(TICKS_PER_PROBE) {
-            self.probe_or_join();
+            self.probe_or_join(now);
             self.change_membership(now);
         }
         self.carry_out();
@@ -282,10 +286,11 @@
     fn formation_step(&mut self, step: FormationStep, now: Millis) {
         match step {
             FormationStep::Wait => {}
+            FormationStep::Form(_) if !self.setup.directory.borrow().may_form(now) => {}
             FormationStep::Form(snapshot) => {
                 self.become_member(snapshot.clone(), now);
                 let form = GroupMessage::Formation(FormationMessage::Form(snapshot));
-                for voter in self.setup.voters.clone() {
+                for voter in self.replicating() {
                     if voter != self.setup.node {
                         self.send_group(&voter, form.clone());
                     }
@@ -335,10 +340,15 @@
         self.state = State::Member(Box::new(new_replica(&self.setup, stored, now)));
     }
 
-    fn probe_or_join(&mut self) {
+    fn replicating(&self) -> Vec<NodeName> {
+        self.setup.directory.borrow().replicating()
+    }
+
+    fn probe_or_join(&mut self, now: Millis) {
+        let replicating = self.replicating();
         match &mut self.state {
             State::Forming(formation) => {
-                formation.start_round();
+                formation.start_round(replicating);
                 let targets: Vec<NodeName> = formation.others().cloned().collect();
                 let probe = FormationMessage::Probe {
                     replica: self.setup.replica,
@@ -346,17 +356,19 @@
                 for target in targets {
                     self.send_group(&target, GroupMessage::Formation(probe.clone()));
                 }
-                self.form_alone();
+                self.form_alone(now);
             }
             State::Member(replica) => {
-                if replica.membership().is_voter(replica.id()) {
+                // One that was voted out while it was cut off does not know it.
+                let is_followed = replica.leader().is_some();
+                if replica.membership().is_voter(replica.id()) && is_followed {
                     return;
                 }
                 let join = FormationMessage::Join(JoinRequest {
                     replica: self.setup.replica,
                     node: self.setup.node.0.clone(),
                 });
-                for target in self.setup.voters.clone() {
+                for target in self.replicating() {
                     if target != self.setup.node {
                         self.send_group(&target, GroupMessage::Formation(join.clone()));
                     }
@@ -366,10 +378,10 @@
     }
 
     /// A group of one has nobody to ask.
-    fn form_alone(&mut self) {
-        if self.setup.voters == [self.setup.node.clone()] {
+    fn form_alone(&mut self, now: Millis) {
+        if self.replicating() == [self.setup.node.clone()] {
             let own = (self.setup.node.clone(), self.setup.replica);
-            self.probe_answered(own.0, own.1, None, 0);
+            self.probe_answered(own.0, own.1, None, now);
         }
     }
 
@@ -390,9 +402,20 @@
             is_fresh && !membership.is_voter(join.request.replica)
         });
         let joining = self.joins.values().map(|join| &join.request);
-        let step = joining
-            .clone()
-            .find_map(|join| next_membership(&membership, join, replica.learner_lag(join.replica)));
+        let directory = self.setup.directory.borrow();
+        let is_silent = |node: &str| {
+            let silence = directory.silence_of(node, now);
+            directory.is_discovering() && silence.is_none_or(|silence| silence > VOTER_SILENCE)
+        };
+        let step = joining.clone().find_map(|join| {
+            next_membership(
+                &membership,
+                join,
+                replica.learner_lag(join.replica),
+                is_silent,
+            )
+        });
+        drop(directory);
         // A learner that asks no more is a former identity, whose request came
         // late: it would stay for ever.
         let is_asking = |learner: &ReplicaId| joining.clone().any(|join| join.replica == *learner);
--- a/crates/daemon/src/replica/formation.rs
+++ b/crates/daemon/src/replica/formation.rs
@@ -1,7 +1,7 @@
 //! How a group forms, and how a replica that holds nothing finds its group.
 //!
-//! A group forms only when every voter of the settings answers and holds
-//! nothing. Each replica accepts one first state only, so two attempts can't
+//! A group forms only when every voter of the settings, or every replicating node
+//! that discovery found, answers and holds nothing. Each replica accepts one first state only, so two attempts can't
 //! both reach a majority. A replica that holds nothing while its group has
 //! formed joins it as a learner: see [`silversail_consensus::next_membership`].
 
@@ -53,8 +53,9 @@
     }
 
     /// Forgets what was answered, before a new round of probes: only answers
-    /// of one round may form a group.
-    pub fn start_round(&mut self) {
+    /// of one round may form a group. `voters` are the nodes that form it now.
+    pub fn start_round(&mut self, voters: Vec<NodeName>) {
+        self.voters = voters;
         self.empty = [(self.node.clone(), self.replica)].into();
     }
 
--- a/crates/daemon/src/replica/proposer.rs
+++ b/crates/daemon/src/replica/proposer.rs
@@ -1,8 +1,8 @@
 //! Brings commands to a group's leader and their replies back.
 
+use crate::directory::SharedDirectory;
 use crate::metrics::Metrics;
 use crate::outbox::SharedOutbox;
-use silversail_model::NodeName;
 use silversail_peer::{GroupId, GroupMessage, PeerMessage, ProposeResult};
 use stakker::{after, ret, Ret, CX};
 use std::collections::BTreeMap;
@@ -36,7 +36,7 @@
 /// commands must be idempotent.
 pub struct ProposerActor {
     group: GroupId,
-    voters: Vec<NodeName>,
+    directory: SharedDirectory,
     target: usize,
     outbox: SharedOutbox,
     metrics: Arc<Metrics>,
@@ -46,11 +46,11 @@
 }
 
 impl ProposerActor {
-    /// A proposer to `group`, whose replicas run on `voters`.
+    /// A proposer to `group`.
     pub fn init(
         _: CX![],
         group: GroupId,
-        voters: Vec<NodeName>,
+        directory: SharedDirectory,
         outbox: SharedOutbox,
         metrics: Arc<Metrics>,
     ) -> Option<Self> {
@@ -59,7 +59,7 @@
         let next_proposal = outbox.borrow().incarnation() << 20;
         Some(Self {
             group,
-            voters,
+            directory,
             target: 0,
             outbox,
             metrics,
@@ -108,7 +108,11 @@
                 command: outstanding.command.clone(),
             },
         };
-        let target = &self.voters[self.target % self.voters.len()];
+        let voters = self.directory.borrow().replicating();
+        if voters.is_empty() {
+            return;
+        }
+        let target = &voters[self.target % voters.len()];
         self.outbox.borrow_mut().send(target, message);
     }
 
@@ -121,7 +125,7 @@
         }
         let silent: Vec<u64> = self.due(|one| one.resend_at <= now);
         if !silent.is_empty() {
-            self.target = (self.target + 1) % self.voters.len();
+            self.target += 1;
         }
         for proposal in silent {
             if let Some(outstanding) = self.outstanding.get_mut(&proposal) {
@@ -156,7 +160,8 @@
             }
             ProposeResult::NotLeader(Some(leader)) => {
                 outstanding.resend_at = cx.now() + RESEND_AFTER;
-                if let Some(position) = self.voters.iter().position(|voter| *voter == leader) {
+                let voters = self.directory.borrow().replicating();
+                if let Some(position) = voters.iter().position(|voter| *voter == leader) {
                     self.target = position;
                 }
                 self.send(proposal);
--- a/crates/daemon/src/session/node_state.rs
+++ b/crates/daemon/src/session/node_state.rs
@@ -3,8 +3,8 @@
 
 use silversail_consensus::{Freshness, Millis};
 use silversail_control::view::merge_machine;
-use silversail_control::{AppliedConfiguration, ClusterView, MachineState};
-use silversail_model::NodeName;
+use silversail_control::{AppliedConfiguration, ClusterView, MachineState, SharedTraffic};
+use silversail_model::{NodeName, TrafficVersion};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -14,6 +14,8 @@
 pub struct NodeState {
     /// Configuration in force.
     pub configuration: AppliedConfiguration,
+    /// Traffic configuration in force; none before the first.
+    pub traffic: Option<SharedTraffic>,
     /// Newest view.
     pub view: ClusterView,
     /// How current the configuration is known to be.
@@ -36,6 +38,11 @@
             && self.freshness.age(now).is_some_and(|age| age <= lease)
     }
 
+    /// Version of the traffic configuration in force.
+    pub fn traffic_version(&self) -> Option<TrafficVersion> {
+        self.traffic.as_ref().map(|traffic| traffic.version())
+    }
+
     /// Whether the machine at `address` is leaving, by any list seen.
     pub fn is_leaving(&self, address: &str) -> bool {
         self.machines
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -2,11 +2,12 @@
 //! the leader of the control group, keeps the membership table.
 
 use crate::clock::Clock;
+use crate::directory::SharedDirectory;
 use crate::outbox::SharedOutbox;
 use crate::replica::SharedStatus;
 use silversail_consensus::Millis;
 use silversail_control::{ClusterView, ControlState, MembershipTable, NodeReport, ViewVersion};
-use silversail_model::{NodeName, Revision};
+use silversail_model::{NodeName, Revision, TrafficVersion};
 use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply};
 use stakker::{after, CX};
 use std::cell::RefCell;
@@ -21,8 +22,8 @@
 
 /// What a relay is made of.
 pub struct RelaySetup {
-    /// All voters.
-    pub voters: Vec<NodeName>,
+    /// Knows the other relays.
+    pub directory: SharedDirectory,
     /// The replicated configuration.
     pub machine: Rc<RefCell<ControlState>>,
     /// Status of the own replica of the control group.
@@ -37,6 +38,7 @@
 
 struct Session {
     revision: Option<Revision>,
+    traffic: Option<TrafficVersion>,
     heard_at: Millis,
 }
 
@@ -115,9 +117,10 @@
     fn send_to_relays(&mut self) {
         let mut outbox = self.setup.outbox.borrow_mut();
         let own = outbox.node().clone();
-        for voter in self.setup.voters.iter().filter(|voter| **voter != own) {
+        let relays = self.setup.directory.borrow().replicating();
+        for relay in relays.iter().filter(|relay| **relay != own) {
             let message = SessionMessage::View(self.view.clone());
-            outbox.send(voter, PeerMessage::Session(message));
+            outbox.send(relay, PeerMessage::Session(message));
         }
     }
 
@@ -143,6 +146,7 @@
         let revision = heartbeat.report.revision;
         let session = Session {
             revision,
+            traffic: heartbeat.report.traffic,
             heard_at: now,
         };
         self.sessions.insert(from.clone(), session);
@@ -153,6 +157,9 @@
                 session.revision = Some(reply.revision);
             }
         }
+        if let (Some(traffic), Some(session)) = (&reply.traffic, self.sessions.get_mut(&from)) {
+            session.traffic = Some(traffic.version());
+        }
         self.pending_reports.insert(from.clone(), heartbeat.report);
         let message = PeerMessage::Session(SessionMessage::Reply(reply));
         self.setup.outbox.borrow_mut().send(&from, message);
@@ -169,12 +176,16 @@
             None => None,
         };
         let newer_view = self.view.version > heartbeat.view;
+        let published = control.published.as_ref().filter(|_| age.is_some());
+        let newer = published.filter(|one| Some(one.version()) > heartbeat.report.traffic);
         SessionReply {
             incarnation: heartbeat.report.incarnation,
             echo: heartbeat.sent_at,
             age,
             revision: machine.revision(),
             update,
+            traffic_version: control.published.as_ref().map(|one| one.version()),
+            traffic: newer.cloned(),
             view: newer_view.then(|| self.view.clone()),
         }
     }
@@ -216,10 +227,19 @@
         let control = self.setup.machine.borrow();
         let machine = &control.configuration;
         let current = machine.revision();
+        let published = control.published.as_ref();
         let mut outbox = self.setup.outbox.borrow_mut();
         for (node, session) in &mut self.sessions {
-            let silent = now.saturating_sub(session.heard_at) > SESSION_SILENCE;
-            if silent || session.revision == Some(current) {
+            if now.saturating_sub(session.heard_at) > SESSION_SILENCE {
+                continue;
+            }
+            let newer = published.filter(|one| Some(one.version()) > session.traffic);
+            if let Some(traffic) = newer {
+                session.traffic = Some(traffic.version());
+                let message = SessionMessage::PushTraffic(traffic.clone());
+                outbox.send(node, PeerMessage::Session(message));
+            }
+            if session.revision == Some(current) {
                 continue;
             }
             if let Some(update) = machine.update_since(session.revision) {
--- a/crates/daemon/src/session/session_actor.rs
+++ b/crates/daemon/src/session/session_actor.rs
@@ -1,13 +1,14 @@
 //! The session of a node with its relay.
 
 use crate::clock::Clock;
+use crate::directory::SharedDirectory;
 use crate::metrics::Metrics;
 use crate::outbox::SharedOutbox;
 use crate::session::node_state::SharedNodeState;
 use silversail_backend::platform::ListedState;
 use silversail_backend::MachineList;
 use silversail_consensus::Millis;
-use silversail_control::{ConfigurationUpdate, MachineState, NodeReport};
+use silversail_control::{ConfigurationUpdate, MachineState, NodeReport, SharedTraffic};
 use silversail_model::NodeName;
 use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply};
 use stakker::{after, fwd, Fwd, CX};
@@ -16,10 +17,8 @@
 
 /// What a session is made of.
 pub struct SessionSetup {
-    /// Nodes that may be the relay.
-    pub relays: Vec<NodeName>,
-    /// Position of the one to try first.
-    pub first_relay: usize,
+    /// Knows the nodes that may be the relay.
+    pub directory: SharedDirectory,
     /// Zone of this node.
     pub zone: String,
     /// Address that callers are told.
@@ -46,7 +45,8 @@
 /// Keeps a node in step.
 pub struct SessionActor {
     setup: SessionSetup,
-    relay: usize,
+    /// The present relay; none before the first is known.
+    relay: Option<NodeName>,
     unanswered: u32,
     started_at: Millis,
 }
@@ -54,12 +54,11 @@
 impl SessionActor {
     /// Starts with a heartbeat.
     pub fn init(cx: CX![], setup: SessionSetup) -> Option<Self> {
-        let relay = setup.first_relay;
         let started_at = setup.clock.millis(cx.now());
         after!(Duration::ZERO, [cx], tick());
         Some(Self {
             setup,
-            relay,
+            relay: None,
             unanswered: 0,
             started_at,
         })
@@ -74,12 +73,31 @@
     }
 
     fn try_next_relay(&mut self) {
-        self.relay = (self.relay + 1) % self.setup.relays.len();
+        let relays = self.setup.directory.borrow().replicating();
+        let position = relays
+            .iter()
+            .position(|one| Some(one) == self.relay.as_ref());
+        let next = position.map_or(0, |position| position + 1);
+        self.relay = relays.get(next % relays.len().max(1)).cloned();
         self.unanswered = 0;
     }
 
+    fn present_relay(&mut self) -> Option<NodeName> {
+        if self.relay.is_none() {
+            let directory = self.setup.directory.borrow();
+            self.relay = directory
+                .replicating()
+                .get(directory.first_relay())
+                .cloned();
+        }
+        self.relay.clone()
+    }
+
     /// Sends a heartbeat at once, outside the interval.
     pub fn send_heartbeat(&mut self, cx: CX![]) {
+        let Some(relay) = self.present_relay() else {
+            return;
+        };
         self.unanswered += 1;
         let now = self.setup.clock.millis(cx.now());
         let message = {
@@ -95,16 +113,16 @@
                     stopping: state.stopping,
                     serving: state.is_current(now, self.setup.freshness_lease),
                     revision: state.configuration.revision(),
+                    traffic: state.traffic_version(),
                     machines: state.machines_unknown_to_view(),
                 },
                 view: state.view.version,
             })
         };
-        let relay = &self.setup.relays[self.relay % self.setup.relays.len()];
         self.setup
             .outbox
             .borrow_mut()
-            .send(relay, PeerMessage::Session(message));
+            .send(&relay, PeerMessage::Session(message));
     }
 
     /// A relay's answer.
@@ -131,9 +149,14 @@
         if let Some(update) = reply.update {
             changed |= self.apply(update);
         }
+        if let Some(traffic) = reply.traffic {
+            changed |= self.apply_traffic(traffic);
+        }
         {
             let mut state = self.setup.state.borrow_mut();
-            if state.configuration.revision() >= Some(reply.revision) {
+            if state.configuration.revision() >= Some(reply.revision)
+                && state.traffic_version() >= reply.traffic_version
+            {
                 state.freshness.advance(as_of);
             }
             if let Some(view) = reply.view.filter(|view| view.version > state.view.version) {
@@ -159,6 +182,25 @@
         }
     }
 
+    /// A traffic configuration that the relay pushed.
+    pub fn push_traffic(&mut self, _: CX![], traffic: SharedTraffic) {
+        let has_started = self.setup.state.borrow().configuration.revision().is_some();
+        if has_started && self.apply_traffic(traffic) {
+            fwd!([self.setup.on_change], ());
+        }
+    }
+
+    fn apply_traffic(&mut self, traffic: SharedTraffic) -> bool {
+        let mut state = self.setup.state.borrow_mut();
+        let held = state.traffic_version();
+        if Some(traffic.version()) <= held {
+            return false;
+        }
+        log::info!(event = "traffic_in_force", version = traffic.version(), before = held.unwrap_or_default(), routes = traffic.traffic.routes.len(); "traffic configuration applied");
+        state.traffic = Some(traffic);
+        true
+    }
+
     fn apply(&mut self, update: ConfigurationUpdate) -> bool {
         let mut state = self.setup.state.borrow_mut();
         let applied = state.configuration.apply(update);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,8 +1,11 @@
 //! The settings file of one process.
 
+use crate::directory::Directory;
 use serde::Deserialize;
 use silversail_consensus::ConsensusConfig;
+use silversail_consensus::Millis;
 use silversail_model::{NodeName, ResultCode};
+use silversail_peer::Contact;
 use silversail_routing::{PlacementPolicy, QueueOrder, SlotPolicy};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -50,6 +53,12 @@
     /// IP address and port of the platform's machine list.
     #[serde(default)]
     pub platform: Option<String>,
+    /// How to find the other processes where `cluster.nodes` does not name them.
+    #[serde(default)]
+    pub discovery: Option<DiscoverySettings>,
+    /// The surface for pass-through requests.
+    #[serde(default)]
+    pub gateway: Option<GatewaySettings>,
     /// Limits on callers.
     #[serde(default)]
     pub limits: LimitSettings,
@@ -70,11 +79,15 @@
 pub struct ClusterSettings {
     /// Messages of clusters with other names are dropped.
     pub name: String,
-    /// All processes.
+    /// All processes; empty where they find each other by discovery.
+    #[serde(default)]
     pub nodes: Vec<NodeSettings>,
-    /// Names of the nodes with a disk that replicate the state.
+    /// Names of the nodes with a disk that replicate the state; empty where
+    /// processes find each other: then those with a data folder do.
+    #[serde(default)]
     pub voters: Vec<NodeName>,
-    /// Over how many groups the claim ledger is spread.
+    /// Over how many groups the claim ledger is spread; 0 where no request
+    /// carries a key.
     #[serde(default = "one")]
     pub ledger_groups: u16,
 }
@@ -83,6 +96,104 @@
     1
 }
 
+/// How a process that knows a few addresses finds the others.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DiscoverySettings {
+    /// This process as the others reach it.
+    pub own: NodeSettings,
+    /// Addresses of processes to ask.
+    pub contacts: Vec<String>,
+    /// Port at which the contacts take messages of other processes, where it is
+    /// not the one in `contacts`.
+    #[serde(default)]
+    pub contact_port: Option<u16>,
+    /// Whether the cluster starts for the first time, and may be formed.
+    #[serde(default)]
+    pub first_start: bool,
+}
+
+impl DiscoverySettings {
+    /// The addresses to ask.
+    pub fn contact_addresses(&self) -> Vec<String> {
+        let addresses = self.contacts.iter().filter_map(|text| text.parse().ok());
+        addresses
+            .map(|mut address: SocketAddr| {
+                if let Some(port) = self.contact_port {
+                    address.set_port(port);
+                }
+                address.to_string()
+            })
+            .collect()
+    }
+}
+
+/// The surface for pass-through requests. Addresses are IP numbers and ports.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// For callers' requests.
+    pub callers: String,
+    /// For the question whether this process is ready.
+    pub readiness: String,
+    /// For the traffic configuration.
+    pub control: String,
+    /// For the question which addresses to use.
+    pub entry_points: String,
+    /// Region of this process.
+    #[serde(default)]
+    pub region: String,
+    /// Where the list of back ends is read.
+    pub backend_list: String,
+    /// Calls of the list that all processes together may make in a second.
+    #[serde(default = "default_list_rate")]
+    pub backend_list_rate: f64,
+    /// How long callers keep an entry-point answer, in milliseconds.
+    #[serde(default = "default_answer_lifetime")]
+    pub answer_lifetime_ms: u64,
+    /// Time from the order to stop until the process is killed, in
+    /// milliseconds.
+    #[serde(default = "default_stop_grace")]
+    pub stop_grace_ms: u64,
+    /// Oldest confirmation on which a read of the traffic configuration is
+    /// answered, in milliseconds.
+    #[serde(default = "default_read_staleness")]
+    pub read_staleness_ms: u64,
+    /// Second sends of a request, as a share of requests, over all processes.
+    #[serde(default = "default_retry_ratio")]
+    pub retry_ratio: f64,
+    /// Second sends that are allowed beyond the share, over all processes.
+    #[serde(default)]
+    pub retry_allowance: f64,
+    /// The time over which both are counted, in milliseconds.
+    #[serde(default = "default_retry_window")]
+    pub retry_window_ms: u64,
+}
+
+fn default_list_rate() -> f64 {
+    10.0
+}
+
+fn default_answer_lifetime() -> u64 {
+    2_000
+}
+
+fn default_stop_grace() -> u64 {
+    8_000
+}
+
+fn default_read_staleness() -> u64 {
+    1_500
+}
+
+fn default_retry_ratio() -> f64 {
+    0.1
+}
+
+fn default_retry_window() -> u64 {
+    10_000
+}
+
 /// One process as the others reach it.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -238,6 +349,8 @@
     pub rotate_bytes: u64,
     /// Rotated files that are kept.
     pub keep_files: usize,
+    /// Whether decisions are written to standard output.
+    pub decisions: bool,
 }
 
 impl Default for LogSettings {
@@ -247,6 +360,7 @@
             folder: None,
             rotate_bytes: 64 << 20,
             keep_files: 5,
+            decisions: false,
         }
     }
 }
@@ -308,6 +422,14 @@
             check_address(&format!("{path}.peer"), &node.peer)?;
             check_address(&format!("{path}.callers"), &node.callers)?;
         }
+        if let Some(discovery) = &self.discovery {
+            check_address("discovery.own.peer", &discovery.own.peer)?;
+            check_address("discovery.own.callers", &discovery.own.callers)?;
+            for (position, contact) in discovery.contacts.iter().enumerate() {
+                check_address(&format!("discovery.contacts[{position}]"), contact)?;
+            }
+            return self.validate_gateway();
+        }
         if !names.contains(&self.node) {
             let message = format!("'{}' is not among cluster.nodes", self.node);
             return Err(SettingsError::new(
@@ -319,7 +441,26 @@
         Ok(())
     }
 
+    fn validate_gateway(&self) -> Result<(), SettingsError> {
+        let Some(gateway) = &self.gateway else {
+            return Ok(());
+        };
+        for (path, address) in [
+            ("gateway.callers", &gateway.callers),
+            ("gateway.readiness", &gateway.readiness),
+            ("gateway.control", &gateway.control),
+            ("gateway.entry_points", &gateway.entry_points),
+            ("gateway.backend_list", &gateway.backend_list),
+        ] {
+            check_address(path, address)?;
+        }
+        Ok(())
+    }
+
     fn validate_voters(&self) -> Result<(), SettingsError> {
+        if self.discovery.is_some() {
+            return Ok(());
+        }
         let voters = &self.cluster.voters;
         if voters.is_empty() || voters.len().is_multiple_of(2) {
             return Err(SettingsError::new(
@@ -355,7 +496,7 @@
                 message,
             ))
         };
-        if self.cluster.ledger_groups == 0 {
+        if self.cluster.ledger_groups == 0 && self.discovery.is_none() {
             return out_of_range("cluster.ledger_groups", "must be at least 1");
         }
         if let Err(message) = self.consensus_config().validate() {
@@ -393,11 +534,17 @@
 
     /// Whether this process replicates the state.
     pub fn is_voter(&self) -> bool {
-        self.cluster.voters.contains(&self.node)
+        match self.discovery {
+            Some(_) => self.data_folder.is_some(),
+            None => self.cluster.voters.contains(&self.node),
+        }
     }
 
-    /// This process's entry among the nodes.
+    /// This process as the others reach it.
     pub fn own_node(&self) -> &NodeSettings {
+        if let Some(discovery) = &self.discovery {
+            return &discovery.own;
+        }
         self.cluster
             .nodes
             .iter()
@@ -405,6 +552,30 @@
             .expect("validated: node is among cluster.nodes")
     }
 
+    /// What this process knows of the others at its start.
+    pub fn directory(&self, incarnation: u64, now: Millis) -> Directory {
+        let contact = |node: &NodeSettings, replicates: bool| Contact {
+            node: node.name.clone(),
+            incarnation,
+            peer_address: node.peer.clone(),
+            zone: node.zone.clone(),
+            replicates,
+        };
+        if let Some(discovery) = &self.discovery {
+            return Directory::discovering(
+                contact(&discovery.own, self.is_voter()),
+                discovery.contact_addresses(),
+                discovery.first_start,
+                now,
+            );
+        }
+        let nodes = self.cluster.nodes.iter();
+        let contacts = nodes
+            .map(|node| contact(node, self.cluster.voters.contains(&node.name)))
+            .collect();
+        Directory::fixed(self.node.clone(), contacts)
+    }
+
     /// Where to listen for other processes.
     pub fn peer_listen_address(&self) -> &str {
         self.listen.peer.as_deref().unwrap_or(&self.own_node().peer)
@@ -418,31 +589,6 @@
             .unwrap_or(&self.own_node().callers)
     }
 
-    /// Position among the voters of the relay to try first. This spreads the
-    /// nodes over the voters: a voter is its own relay, others start with one
-    /// in their zone if there is one.
-    pub fn first_relay(&self) -> usize {
-        let voters = &self.cluster.voters;
-        if let Some(own) = voters.iter().position(|voter| *voter == self.node) {
-            return own;
-        }
-        let nodes = &self.cluster.nodes;
-        let rank = nodes.iter().position(|node| node.name == self.node);
-        let rank = rank.unwrap_or_default();
-        let zone_of = |name: &NodeName| {
-            let node = nodes.iter().find(|node| node.name == *name);
-            node.map(|node| node.zone.as_str())
-        };
-        let own_zone = Some(self.own_node().zone.as_str());
-        let near: Vec<usize> = (0..voters.len())
-            .filter(|position| zone_of(&voters[*position]) == own_zone)
-            .collect();
-        match near.is_empty() {
-            true => rank % voters.len(),
-            false => near[rank % near.len()],
-        }
-    }
-
     /// Timing of the replication groups.
     pub fn consensus_config(&self) -> ConsensusConfig {
         let election_timeout = self.timing.election_timeout_ms;
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -2,9 +2,11 @@
 //! this node has ended, refuse new requests, finish those under way, hand over
 //! leadership, exit.
 
+use crate::gateway::runtime::GatewayRuntime;
 use crate::metrics::Metrics;
 use crate::session::{SessionActor, SharedNodeState};
 use crate::settings::TimingSettings;
+use silversail_decisions::{DecisionLog, Event as LogEvent};
 use silversail_http::HttpServer;
 use silversail_model::NodeName;
 use stakker::{after, call, fwd, Actor, Fwd, CX};
@@ -30,10 +32,22 @@
     pub metrics: Arc<Metrics>,
     /// The callers' surface.
     pub server: Rc<HttpServer>,
+    /// The gateway, where there is one.
+    pub gateway: Option<Rc<GatewayRuntime>>,
+    /// Milliseconds until the process is killed, where that is known.
+    pub stop_grace: Option<u64>,
+    /// Decisions.
+    pub log: DecisionLog,
     /// Hands leadership over, by group.
     pub hand_over: Vec<Fwd<()>>,
 }
 
+/// New requests are refused from this share of the time until the kill: what is
+/// taken before has the rest of it to end.
+const TAKES_REQUESTS: f64 = 0.45;
+/// The last answers must have left so long before the kill.
+const BEFORE_KILL: Duration = Duration::from_millis(900);
+
 /// The steps of a stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
@@ -51,6 +65,7 @@
 pub struct StopActor {
     setup: StopSetup,
     step: Step,
+    began_at: Instant,
 }
 
 impl StopActor {
@@ -60,7 +75,12 @@
         let longest = Duration::from_millis(setup.timing.node_lease_ms);
         let step = Step::LeavingView(cx.now() + longest);
         after!(TICK, [cx], tick());
-        Some(Self { setup, step })
+        let began_at = cx.now();
+        Some(Self {
+            setup,
+            step,
+            began_at,
+        })
     }
 
     fn tick(&mut self, cx: CX![]) {
@@ -68,17 +88,19 @@
         let now = cx.now();
         let next = match self.step {
             Step::LeavingView(until) if now >= until || !self.is_in_view() => {
-                Some(Step::AnswersEnding(now + self.answer_lifetime()))
+                Some(Step::AnswersEnding(self.answers_end(now)))
             }
             Step::AnswersEnding(until) if now >= until => {
                 self.setup.state.borrow_mut().refusing = true;
-                let longest = Duration::from_millis(self.setup.timing.stop_timeout_ms);
-                Some(Step::Draining(now + longest))
+                Some(Step::Draining(self.drained_by(now)))
             }
             Step::Draining(until)
                 if now >= until || self.setup.metrics.open_requests.get() == 0 =>
             {
                 self.setup.server.stop_accepting();
+                if let Some(gateway) = &self.setup.gateway {
+                    gateway.close();
+                }
                 for hand_over in &self.setup.hand_over {
                     fwd!([hand_over], ());
                 }
@@ -91,7 +113,9 @@
             _ => None,
         };
         if let Some(next) = next {
-            log::info!(event = "stop_step"; "{next:?}");
+            self.setup.log.record(LogEvent::Stopping {
+                step: format!("{next:?}"),
+            });
             self.step = next;
         }
     }
@@ -105,6 +129,22 @@
         in_view
     }
 
+    /// Until when callers that hold an answer are served.
+    fn answers_end(&self, now: Instant) -> Instant {
+        match self.setup.stop_grace {
+            Some(grace) => self.began_at + Duration::from_millis(grace).mul_f64(TAKES_REQUESTS),
+            None => now + self.answer_lifetime(),
+        }
+    }
+
+    /// By when requests under way must have ended.
+    fn drained_by(&self, now: Instant) -> Instant {
+        match self.setup.stop_grace {
+            Some(grace) => self.began_at + Duration::from_millis(grace) - BEFORE_KILL,
+            None => now + Duration::from_millis(self.setup.timing.stop_timeout_ms),
+        }
+    }
+
     /// Other nodes answer from a view that may be as old as their freshness
     /// lease, and callers keep the answer for its lifetime.
     fn answer_lifetime(&self) -> Duration {
--- /dev/null
+++ b/crates/decisions/src/event.rs
@@ -0,0 +1,277 @@
+//! The events, one variant for each kind of decision.
+
+use serde::{Deserialize, Serialize};
+
+/// How important an event is when not all can be kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EventClass {
+    /// A step of a request that goes well; sampled under load.
+    Step,
+    /// A refusal, failure or retry of a request.
+    Failure,
+    /// A change of what the process believes, or of its life.
+    Belief,
+}
+
+/// One decision with the inputs that decided it. Ages are in milliseconds. Keys,
+/// prompts and answers never stand in an event.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event {
+    /// The process started.
+    Started {
+        /// Version of the program.
+        version: String,
+        /// Its incarnation.
+        incarnation: u64,
+    },
+    /// The process was told to stop, or goes one step further.
+    Stopping {
+        /// The step.
+        step: String,
+    },
+    /// The settings were read again.
+    Reloaded {
+        /// What changed.
+        change: String,
+    },
+    /// A request was taken in and its way decided.
+    Admitted {
+        /// The caller's identifier.
+        request: String,
+        /// The route.
+        route: String,
+        /// The service.
+        service: String,
+        /// Version of the traffic configuration.
+        version: u64,
+        /// Milliseconds until the request's end.
+        remaining_ms: u64,
+        /// Phases that come first.
+        phases: usize,
+    },
+    /// A request was refused or given up.
+    Refused {
+        /// The caller's identifier.
+        request: String,
+        /// HTTP status.
+        status: u16,
+        /// Numbered code.
+        code: u16,
+        /// Its reason.
+        reason: String,
+        /// Version of the traffic configuration; 0 for none.
+        version: u64,
+        /// Milliseconds since the request arrived.
+        after_ms: u64,
+        /// Sends to engines before.
+        sends: u32,
+        /// When the caller is told to come back.
+        retry_after_ms: u64,
+    },
+    /// A phase's pieces were handed to the node that batches its service.
+    PhaseSubmitted {
+        /// The caller's identifier.
+        request: String,
+        /// Number of the phase.
+        phase: u32,
+        /// The service.
+        service: String,
+        /// How many pieces.
+        pieces: usize,
+        /// The batching node.
+        owner: String,
+        /// Milliseconds until the request's end.
+        remaining_ms: u64,
+    },
+    /// A phase ended.
+    PhaseDone {
+        /// The caller's identifier.
+        request: String,
+        /// Number of the phase.
+        phase: u32,
+        /// `made`, or why not.
+        outcome: String,
+        /// How long it took.
+        took_ms: u64,
+    },
+    /// A batch was sent to a back end.
+    BatchSent {
+        /// The back end.
+        backend: String,
+        /// The service.
+        service: String,
+        /// Pieces in the call.
+        pieces: usize,
+        /// Pieces that go on waiting.
+        waiting: usize,
+        /// Room taken at the back end, in bytes.
+        room_taken: u64,
+        /// The requests of the pieces.
+        requests: Vec<String>,
+    },
+    /// A batch ended.
+    BatchEnded {
+        /// The back end.
+        backend: String,
+        /// `made`, or why not.
+        outcome: String,
+        /// How long it took.
+        took_ms: u64,
+    },
+    /// A request was sent to an engine.
+    Sent {
+        /// The caller's identifier.
+        request: String,
+        /// The back end.
+        backend: String,
+        /// Which send of this request.
+        send: u32,
+        /// Requests that this node has under way there.
+        in_flight: u32,
+        /// Requests that the back end last told of, running and waiting.
+        reported: u32,
+        /// Age of that report; none where there is none.
+        report_age_ms: Option<u64>,
+        /// Milliseconds until the request's end.
+        remaining_ms: u64,
+    },
+    /// A send ended without an answer for the caller.
+    SendFailed {
+        /// The caller's identifier.
+        request: String,
+        /// The back end.
+        backend: String,
+        /// What is known: `not_run` or `unknown`.
+        outcome: String,
+        /// Why.
+        reason: String,
+        /// How long it took.
+        took_ms: u64,
+        /// What comes next: `retry` or `give_up`.
+        next: String,
+        /// What decided it.
+        why: String,
+    },
+    /// The answer reached the caller.
+    Answered {
+        /// The caller's identifier.
+        request: String,
+        /// The back end.
+        backend: String,
+        /// HTTP status.
+        status: u16,
+        /// Milliseconds from arrival to the answer's head.
+        head_ms: u64,
+        /// Milliseconds from arrival to the end.
+        total_ms: u64,
+        /// `whole`, or what broke it off.
+        end: String,
+    },
+    /// The caller left.
+    CallerGone {
+        /// The caller's identifier.
+        request: String,
+        /// Milliseconds since the request arrived.
+        after_ms: u64,
+        /// Sends to engines before.
+        sends: u32,
+    },
+    /// A back end appeared, changed state or went.
+    Backend {
+        /// The back end.
+        backend: String,
+        /// Its service.
+        service: String,
+        /// `ready`, `draining`, `gone`, `suspect`, `full` or `trusted`.
+        state: String,
+        /// What it was learnt from.
+        source: String,
+    },
+    /// A dependency was lost or came back.
+    Dependency {
+        /// Its name.
+        name: String,
+        /// Whether it works.
+        works: bool,
+        /// What was seen.
+        detail: String,
+    },
+    /// A traffic configuration came into force.
+    TrafficInForce {
+        /// Its version.
+        version: u64,
+        /// The one before; 0 for none.
+        before: u64,
+    },
+    /// The view of live nodes changed.
+    View {
+        /// Its version, as `term.sequence`.
+        version: String,
+        /// Usable nodes.
+        nodes: Vec<String>,
+    },
+    /// The leader of a group changed, as this node knows it.
+    Leader {
+        /// The group.
+        group: String,
+        /// Its leader; empty for none.
+        leader: String,
+        /// The term.
+        term: u64,
+    },
+    /// The batching node of a service changed, as this node sees it.
+    BatchOwner {
+        /// The service.
+        service: String,
+        /// The node; empty for none.
+        owner: String,
+    },
+    /// Lines were dropped, as more came than the log takes.
+    Dropped {
+        /// Steps of requests.
+        steps: u64,
+        /// Failures.
+        failures: u64,
+        /// Beliefs.
+        beliefs: u64,
+    },
+}
+
+impl Event {
+    /// How important the event is.
+    pub fn class(&self) -> EventClass {
+        match self {
+            Event::Admitted { .. }
+            | Event::PhaseSubmitted { .. }
+            | Event::Sent { .. }
+            | Event::BatchSent { .. }
+            | Event::BatchEnded { .. } => EventClass::Step,
+            Event::PhaseDone { outcome, .. } if outcome == "made" => EventClass::Step,
+            Event::Answered { end, status, .. } if end == "whole" && *status < 400 => {
+                EventClass::Step
+            }
+            Event::Refused { .. }
+            | Event::PhaseDone { .. }
+            | Event::SendFailed { .. }
+            | Event::Answered { .. }
+            | Event::CallerGone { .. } => EventClass::Failure,
+            _ => EventClass::Belief,
+        }
+    }
+
+    /// The request that the event is about, where it is about one.
+    pub fn request(&self) -> Option<&str> {
+        match self {
+            Event::Admitted { request, .. }
+            | Event::Refused { request, .. }
+            | Event::PhaseSubmitted { request, .. }
+            | Event::PhaseDone { request, .. }
+            | Event::Sent { request, .. }
+            | Event::SendFailed { request, .. }
+            | Event::Answered { request, .. }
+            | Event::CallerGone { request, .. } => Some(request),
+            _ => None,
+        }
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,12 +7,21 @@
 //! `docs/design/http-server.md`.
 
 pub mod body;
+pub mod client;
 pub mod config;
+pub mod relay;
 pub mod request;
 pub mod responder;
 pub mod server;
+pub mod service;
 
+pub use client::{Connection, ConnectionPool, SendError};
 pub use config::HttpServerConfig;
+pub use relay::{RelayBody, RelayEnd};
 pub use request::Request;
 pub use responder::{Responder, ResponseHead, ResponsePart, ResponseReader};
 pub use server::{Handler, HttpServer, RejectReason};
+pub use service::{
+    serve, AsyncService, IncomingRequest, OutgoingBody, ServedResponse, ServiceFuture,
+    ServiceLimits,
+};
--- /dev/null
+++ b/crates/http/src/relay.rs
@@ -0,0 +1,111 @@
+//! A response body that passes a back end's answer on as it comes.
+
+use crate::client::Connection;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Instant;
+use tokio::time::Sleep;
+
+/// How a relayed answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayEnd {
+    /// The back end ended it.
+    Whole,
+    /// The back end broke it off.
+    Broken,
+    /// Its time was over.
+    TimeOver,
+    /// The caller left.
+    CallerLeft,
+}
+
+type OnEnd = Box<dyn FnOnce(RelayEnd) + Send>;
+
+/// Passes a body on. It ends as the back end's body ends; anything else is an
+/// error, which cuts the caller's connection.
+pub struct RelayBody {
+    inner: Incoming,
+    connection: Option<Connection>,
+    time_over: Pin<Box<Sleep>>,
+    on_end: Option<OnEnd>,
+}
+
+impl RelayBody {
+    /// Relays `inner`, which came over `connection`, until `end` at the longest.
+    pub fn new(
+        inner: Incoming,
+        connection: Connection,
+        end: Instant,
+        on_end: impl FnOnce(RelayEnd) + Send + 'static,
+    ) -> Self {
+        Self {
+            inner,
+            connection: Some(connection),
+            time_over: Box::pin(tokio::time::sleep_until(end.into())),
+            on_end: Some(Box::new(on_end)),
+        }
+    }
+
+    fn finish(&mut self, end: RelayEnd) {
+        if let Some(on_end) = self.on_end.take() {
+            on_end(end);
+        }
+        match (end, self.connection.take()) {
+            (RelayEnd::Whole, Some(connection)) => connection.keep(),
+            (_, connection) => drop(connection),
+        }
+    }
+}
+
+impl Drop for RelayBody {
+    fn drop(&mut self) {
+        if self.on_end.is_some() {
+            self.finish(RelayEnd::CallerLeft);
+        }
+    }
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if self.on_end.is_none() {
+            return Poll::Ready(None);
+        }
+        match Pin::new(&mut self.inner).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => return Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(Some(Err(error))) => {
+                self.finish(RelayEnd::Broken);
+                return Poll::Ready(Some(Err(io::Error::other(error))));
+            }
+            Poll::Ready(None) => {
+                self.finish(RelayEnd::Whole);
+                return Poll::Ready(None);
+            }
+            Poll::Pending => {}
+        }
+        match self.time_over.as_mut().poll(context) {
+            Poll::Ready(()) => {
+                self.finish(RelayEnd::TimeOver);
+                Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())))
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        false
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- a/crates/model/src/codes.rs
+++ b/crates/model/src/codes.rs
@@ -134,6 +134,23 @@
     /// The retry budget of the back ends is spent.
     RetryBudgetSpent = 2112, "retry_budget_spent", 503, NotRun;
 
+    /// No route has the request's host and a prefix of its path.
+    UnknownRoute = 2201, "unknown_route", 404, NotRun;
+    /// The request's key is absent, unknown or taken away.
+    UnknownKey = 2202, "unknown_key", 401, NotRun;
+    /// The request has no identifier.
+    MissingIdentifier = 2203, "missing_identifier", 400, NotRun;
+    /// The process does not hold a traffic configuration yet.
+    NoTrafficConfiguration = 2204, "no_traffic_configuration", 503, NotRun;
+    /// More work waits before the request than can be done in time.
+    PhaseOverloaded = 2205, "phase_overloaded", 503, NotRun;
+    /// A phase before the request could not be done.
+    PhaseFailed = 2206, "phase_failed", 503, NotRun;
+    /// The time was over before the request was sent to an engine.
+    TimeOverBeforeSend = 2207, "time_over_before_send", 503, NotRun;
+    /// The request's head is larger than allowed.
+    HeadTooLarge = 2208, "head_too_large", 431, NotRun;
+
     /// A back end answered with an error.
     BackendFailed = 3001, "backend_failed", 502, Failed;
     /// A back end's answer is not in its protocol, or names another call.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod configuration;
 pub mod identifiers;
 pub mod selector;
+pub mod traffic;
 pub mod validation;
 
 pub use codes::{Outcome, ResultCode};
@@ -14,4 +15,5 @@
 };
 pub use identifiers::{BackendName, ChangeId, NodeName, PipelineName, StageName, TenantName};
 pub use selector::{Labels, Operator, Requirement, Selector};
+pub use traffic::{TrafficConfiguration, TrafficVersion};
 pub use validation::{FieldError, ValidationErrors};
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,12 +1,16 @@
 //! Messages between silversail processes and their transport.
 
+pub mod discovery;
 pub mod errors;
 pub mod message;
 pub mod transport;
+pub mod work;
 
+pub use discovery::{Contact, DiscoveryMessage, HeardContact};
 pub use errors::PeerError;
 pub use message::{
     Envelope, FormationMessage, GroupId, GroupMessage, PeerMessage, ProposeResult,
     SessionHeartbeat, SessionMessage, SessionReply,
 };
 pub use transport::{decode, encode, NngTransport, SendResult, Transport};
+pub use work::{PhaseWork, Piece, PieceFailure, PieceSource, ResultHandle, WorkId, WorkMessage};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,9 +1,13 @@
 //! What silversail processes tell each other.
 
+use crate::discovery::DiscoveryMessage;
+use crate::work::WorkMessage;
 use serde::{Deserialize, Serialize};
 use silversail_consensus::{JoinRequest, Message, Millis, ReplicaId, Snapshot};
-use silversail_control::{ClusterView, ConfigurationUpdate, NodeReport, ViewVersion};
-use silversail_model::{NodeName, Revision};
+use silversail_control::{
+    ClusterView, ConfigurationUpdate, NodeReport, SharedTraffic, ViewVersion,
+};
+use silversail_model::{NodeName, Revision, TrafficVersion};
 use std::fmt;
 
 /// Version of the message format; other versions are dropped.
@@ -54,6 +58,10 @@
     },
     /// Of a node's session with its relay.
     Session(SessionMessage),
+    /// How nodes learn of each other.
+    Discovery(DiscoveryMessage),
+    /// Work that nodes hand to each other.
+    Work(WorkMessage),
 }
 
 /// Messages to or between the members of a group.
@@ -143,6 +151,10 @@
     pub revision: Revision,
     /// What the node lacks.
     pub update: Option<ConfigurationUpdate>,
+    /// Version of the relay's traffic configuration.
+    pub traffic_version: Option<TrafficVersion>,
+    /// The relay's traffic configuration, where the node's is older.
+    pub traffic: Option<SharedTraffic>,
     /// A newer view than the node's.
     pub view: Option<ClusterView>,
 }
@@ -156,6 +168,8 @@
     Reply(SessionReply),
     /// Relay to node, at once when the configuration changes.
     Push(ConfigurationUpdate),
+    /// Relay to node, at once when the traffic configuration changes.
+    PushTraffic(SharedTraffic),
     /// Relay to leader: the heartbeats of its nodes since the last one.
     Reports {
         /// The heartbeats.
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -31,6 +31,17 @@
 pub trait Transport {
     /// Sends without waiting.
     fn send(&mut self, to: &NodeName, envelope: &Envelope) -> SendResult;
+
+    /// Sends without waiting to an address of which no node is known.
+    fn send_to_address(&mut self, _address: &str, _envelope: &Envelope) -> SendResult {
+        SendResult::UnknownPeer
+    }
+
+    /// Learns where a node is reached.
+    fn learn(&mut self, _node: &NodeName, _address: &str) {}
+
+    /// Gives up the connection to a node that has gone silent, for a new one.
+    fn reconnect(&mut self, _node: &NodeName) {}
 }
 
 /// Encodes an envelope.
@@ -56,7 +67,8 @@
 
 /// The transport of real processes.
 pub struct NngTransport {
-    peers: BTreeMap<NodeName, Socket>,
+    addresses: BTreeMap<NodeName, String>,
+    sockets: BTreeMap<String, Socket>,
 }
 
 impl NngTransport {
@@ -70,23 +82,60 @@
     ) -> Result<Self, PeerError> {
         listen(listen_address, cluster.to_owned(), receive)?;
         let mut sockets = BTreeMap::new();
-        for (name, address) in peers {
-            sockets.insert(name.clone(), dial(address)?);
+        for address in peers.values() {
+            sockets.insert(address.clone(), dial(address)?);
         }
-        Ok(Self { peers: sockets })
+        Ok(Self {
+            addresses: peers.clone(),
+            sockets,
+        })
+    }
+
+    fn socket(&mut self, address: &str) -> Option<&Socket> {
+        if !self.sockets.contains_key(address) {
+            match dial(address) {
+                Ok(socket) => {
+                    self.sockets.insert(address.to_owned(), socket);
+                }
+                Err(error) => {
+                    log::warn!(event = "peer_dial_failed", address = address; "{error}");
+                }
+            }
+        }
+        self.sockets.get(address)
     }
 }
 
 impl Transport for NngTransport {
     fn send(&mut self, to: &NodeName, envelope: &Envelope) -> SendResult {
-        let Some(socket) = self.peers.get(to) else {
-            return SendResult::UnknownPeer;
+        match self.addresses.get(to).cloned() {
+            Some(address) => self.send_to_address(&address, envelope),
+            None => SendResult::UnknownPeer,
+        }
+    }
+
+    fn send_to_address(&mut self, address: &str, envelope: &Envelope) -> SendResult {
+        let Some(socket) = self.socket(address) else {
+            return SendResult::Dropped;
         };
         match socket.try_send(&encode(envelope)[..]) {
             Ok(()) => SendResult::Queued,
             Err(_) => SendResult::Dropped,
         }
     }
+
+    fn learn(&mut self, node: &NodeName, address: &str) {
+        let former = self.addresses.insert(node.clone(), address.to_owned());
+        if let Some(former) = former.filter(|former| former != address) {
+            self.sockets.remove(&former);
+        }
+    }
+
+    fn reconnect(&mut self, node: &NodeName) {
+        if let Some(address) = self.addresses.get(node) {
+            self.sockets.remove(address);
+        }
+    }
 }
 
 fn listen(
--- /dev/null
+++ b/crates/peer/src/work.rs
@@ -0,0 +1,97 @@
+//! Pieces of batch stages that nodes hand to the node which batches a service.
+
+use serde::{Deserialize, Serialize};
+
+/// One piece of one phase of one request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    /// The caller's identifier of the request.
+    pub request: String,
+    /// Number of the phase.
+    pub phase: u32,
+    /// Number of the piece in its phase.
+    pub index: u32,
+    /// What the piece is made from.
+    pub source: PieceSource,
+    /// Approximate size of its result, in bytes.
+    pub result_bytes: u64,
+}
+
+/// What a piece is made from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PieceSource {
+    /// The key that the caller sent.
+    Key(String),
+    /// Results of earlier phases.
+    Results(Vec<ResultHandle>),
+}
+
+/// Names a result at the back end that made it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ResultHandle(pub String);
+
+/// Why a piece was not made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum PieceFailure {
+    /// Its time had run out.
+    Late,
+    /// A result that it is made from is gone.
+    InputGone,
+    /// The makers have no room for its result.
+    NoRoom,
+    /// The makers failed it.
+    Failed,
+    /// No back end of the service is known.
+    NoBackend,
+    /// More waits than can be made in time.
+    Overloaded,
+}
+
+/// Identifies an order of work at the node that gave it.
+pub type WorkId = u64;
+
+/// All pieces of one phase of one request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PhaseWork {
+    /// The service that makes them.
+    pub service: String,
+    /// The pieces.
+    pub pieces: Vec<Piece>,
+    /// Rank of the request; 0 is the most urgent.
+    pub priority: u8,
+    /// Milliseconds until the phase should be done to keep the objective.
+    pub wanted_in_ms: u64,
+    /// Milliseconds until the request's deadline.
+    pub remaining_ms: u64,
+}
+
+/// Messages of work.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WorkMessage {
+    /// Asks the receiver to have the pieces made.
+    Submit {
+        /// Identifies the order at the sender's process.
+        work: WorkId,
+        /// The work.
+        phase: PhaseWork,
+    },
+    /// Answers a submission: the results in the order of the pieces.
+    Done {
+        /// The order.
+        work: WorkId,
+        /// The results.
+        result: Result<Vec<ResultHandle>, PieceFailure>,
+    },
+    /// The sender wants the work no more.
+    Cancel {
+        /// The order.
+        work: WorkId,
+    },
+    /// These results are not needed any more.
+    Release {
+        /// The service that made them.
+        service: String,
+        /// The results.
+        handles: Vec<ResultHandle>,
+    },
+}
--- /dev/null
+++ b/crates/serving/src/batcher.rs
@@ -0,0 +1,481 @@
+//! Which pieces share a call. One node batches all pieces of a service: a call
+//! costs most of its time whatever it carries, so pieces of different requests,
+//! taken in by different nodes, go together.
+//!
+//! An idle back end gets what waits at once; while all are busy, pieces gather.
+//! Pieces may be made again, so a batch whose fate is unknown is sent once more.
+
+mod order;
+mod room;
+
+use crate::instances::InstanceTable;
+use crate::ports::PieceResults;
+use crate::Millis;
+use order::{Order, PieceState};
+use room::RoomBook;
+use silversail_decisions::{DecisionLog, Event};
+use silversail_model::traffic::BatchSpec;
+use silversail_model::NodeName;
+use silversail_peer::{PhaseWork, Piece, PieceFailure, ResultHandle, WorkId};
+use std::collections::BTreeMap;
+
+/// How long a back end that refused a batch gets none, in milliseconds.
+const REFUSED_FOR: Millis = 80;
+/// Most calls that a piece takes part in.
+const MAX_CALLS_OF_PIECE: u32 = 3;
+/// A lower rank lets a phase wait longer by this much, in milliseconds.
+const RANK_STEP: Millis = 250;
+
+/// Identifies an order of work by the node that gave it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OrderKey {
+    /// The node.
+    pub node: NodeName,
+    /// The order at that node's process.
+    pub work: WorkId,
+}
+
+/// Identifies a call of this node.
+pub type CallId = u64;
+
+/// A call to be made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BatchCall {
+    /// Identifies the call.
+    pub call: CallId,
+    /// Identity of the back end.
+    pub instance: String,
+    /// Its address.
+    pub address: String,
+    /// The pieces, each with the milliseconds that remain for it.
+    pub pieces: Vec<(Piece, u64)>,
+}
+
+/// What a call came to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallOutcome {
+    /// It was answered, piece by piece.
+    Answered(PieceResults),
+    /// The back end said that it did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// An order that ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FinishedOrder {
+    /// The order.
+    pub key: OrderKey,
+    /// The results in the order of the pieces, or why there are none.
+    pub result: Result<Vec<ResultHandle>, PieceFailure>,
+}
+
+struct CallState {
+    instance: String,
+    service: String,
+    members: Vec<(OrderKey, usize)>,
+    room: u64,
+    began_at: Millis,
+}
+
+/// Batches the pieces of the services that this node owns.
+pub struct Batcher {
+    specs: BTreeMap<String, BatchSpec>,
+    orders: BTreeMap<OrderKey, Order>,
+    calls: BTreeMap<CallId, CallState>,
+    refused_until: BTreeMap<String, Millis>,
+    room: RoomBook,
+    next_call: CallId,
+    log: DecisionLog,
+}
+
+impl Batcher {
+    /// A batcher without services.
+    pub fn new(log: DecisionLog) -> Self {
+        Self {
+            specs: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            refused_until: BTreeMap::new(),
+            room: RoomBook::default(),
+            next_call: 1,
+            log,
+        }
+    }
+
+    /// Takes what each service's back ends can do.
+    pub fn set_specs(&mut self, specs: BTreeMap<String, BatchSpec>) {
+        self.specs = specs;
+    }
+
+    /// Takes an order. An error refuses it at once.
+    pub fn submit(
+        &mut self,
+        key: OrderKey,
+        work: PhaseWork,
+        table: &InstanceTable,
+        now: Millis,
+    ) -> Result<(), PieceFailure> {
+        let expected = self.expected_ms(&work.service, work.pieces.len(), table)?;
+        if expected > work.remaining_ms {
+            return Err(PieceFailure::Overloaded);
+        }
+        self.orders.insert(key, Order::new(work, now));
+        Ok(())
+    }
+
+    /// How long `pieces` more pieces of a service can be expected to take, in
+    /// milliseconds.
+    pub fn expected_ms(
+        &self,
+        service: &str,
+        pieces: usize,
+        table: &InstanceTable,
+    ) -> Result<u64, PieceFailure> {
+        let spec = self.specs.get(service).ok_or(PieceFailure::NoBackend)?;
+        let makers = table
+            .of_service(service)
+            .filter(|one| !one.listed.draining)
+            .count();
+        if makers == 0 {
+            return Err(PieceFailure::NoBackend);
+        }
+        let waiting: usize = self.waiting_of(service).map(Order::waiting_pieces).sum();
+        let full_call = spec.call_ms + spec.piece_ms * spec.pieces as f64;
+        let rounds = waiting as f64 / (makers * spec.pieces.max(1)) as f64;
+        let own_call = spec.call_ms + spec.piece_ms * pieces as f64;
+        let busy = self.calls.values().filter(|one| one.service == service);
+        let is_busy = busy.count() >= makers;
+        let until_free = if is_busy { full_call / 2.0 } else { 0.0 };
+        Ok((until_free + rounds.floor() * full_call + own_call) as u64)
+    }
+
+    fn waiting_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Order> {
+        let orders = self.orders.values();
+        orders.filter(move |order| order.work.service == service)
+    }
+
+    /// Forgets an order; its results are freed, also those still to come.
+    pub fn cancel(&mut self, key: &OrderKey) {
+        if let Some(order) = self.orders.remove(key) {
+            self.room.release(&order.made());
+        }
+    }
+
+    /// Forgets all orders of a node that is gone.
+    pub fn cancel_of(&mut self, node: &NodeName) {
+        let keys = self.orders.keys().filter(|key| key.node == *node);
+        for key in keys.cloned().collect::<Vec<_>>() {
+            self.cancel(&key);
+        }
+    }
+
+    /// Frees results.
+    pub fn release(&mut self, handles: &[ResultHandle]) {
+        self.room.release(handles);
+    }
+
+    /// Results to be freed at their makers.
+    pub fn take_releases(&mut self) -> Vec<ResultHandle> {
+        self.room.take_releases()
+    }
+
+    /// The calls to be made now.
+    pub fn next_calls(&mut self, table: &InstanceTable, now: Millis) -> Vec<BatchCall> {
+        self.room.expire(now);
+        let services: Vec<String> = self.specs.keys().cloned().collect();
+        let mut calls = Vec::new();
+        for service in services {
+            self.calls_of_service(&service, table, now, &mut calls);
+        }
+        calls
+    }
+
+    fn calls_of_service(
+        &mut self,
+        service: &str,
+        table: &InstanceTable,
+        now: Millis,
+        calls: &mut Vec<BatchCall>,
+    ) {
+        let mut waiting = self.by_urgency(service);
+        if waiting.is_empty() {
+            return;
+        }
+        let spec = self.specs[service].clone();
+        let mut idle = self.idle_makers(service, &spec, table, now);
+        while let (Some(maker), false) = (idle.pop(), waiting.is_empty()) {
+            // What waits is shared out over the makers that are idle, whole
+            // orders to each.
+            let share = waiting.len().div_ceil(idle.len() + 1);
+            let taken = self.fill(&maker, &spec, &waiting[..share]);
+            if taken.is_empty() {
+                continue;
+            }
+            calls.push(self.start(service, &maker, taken, table, now));
+            waiting.retain(|key| self.orders[key].waiting_pieces() > 0);
+        }
+    }
+
+    /// Orders with waiting pieces, the most urgent first.
+    fn by_urgency(&self, service: &str) -> Vec<OrderKey> {
+        let mut waiting: Vec<(&OrderKey, &Order)> = self
+            .orders
+            .iter()
+            .filter(|(_, order)| order.work.service == service && order.waiting_pieces() > 0)
+            .collect();
+        waiting.sort_by_key(|(_, order)| {
+            order.wanted_at + RANK_STEP * Millis::from(order.work.priority)
+        });
+        waiting.into_iter().map(|(key, _)| key.clone()).collect()
+    }
+
+    /// Back ends with a free place, the one with most room last.
+    fn idle_makers(
+        &self,
+        service: &str,
+        spec: &BatchSpec,
+        table: &InstanceTable,
+        now: Millis,
+    ) -> Vec<String> {
+        let is_free = |id: &String| {
+            let busy = self.calls.values().filter(|call| call.instance == *id);
+            let refused = self.refused_until.get(id);
+            busy.count() < spec.slots.max(1) as usize && refused.is_none_or(|until| *until <= now)
+        };
+        let mut idle: Vec<String> = table
+            .of_service(service)
+            .filter(|one| one.is_usable(now))
+            .map(|one| one.listed.id.clone())
+            .filter(is_free)
+            .collect();
+        idle.sort_by_key(|id| std::cmp::Reverse(self.room.taken(id)));
+        idle
+    }
+
+    /// Pieces of `orders` that fit into one call of `maker`.
+    fn fill(&self, maker: &str, spec: &BatchSpec, orders: &[OrderKey]) -> Vec<(OrderKey, usize)> {
+        let mut room = spec.room_bytes.saturating_sub(self.room.taken(maker));
+        let mut taken = Vec::new();
+        for key in orders {
+            for (index, piece) in self.orders[key].waiting() {
+                let bytes = piece.result_bytes;
+                if taken.len() >= spec.pieces || bytes > room {
+                    return taken;
+                }
+                room -= bytes;
+                taken.push((key.clone(), index));
+            }
+        }
+        taken
+    }
+
+    fn start(
+        &mut self,
+        service: &str,
+        maker: &str,
+        members: Vec<(OrderKey, usize)>,
+        table: &InstanceTable,
+        now: Millis,
+    ) -> BatchCall {
+        let call = self.next_call;
+        self.next_call += 1;
+        let mut pieces = Vec::new();
+        let mut room = 0;
+        for (key, index) in &members {
+            let Some(order) = self.orders.get_mut(key) else {
+                continue;
+            };
+            order.states[*index] = PieceState::InCall(call);
+            let piece = order.work.pieces[*index].clone();
+            room += piece.result_bytes;
+            pieces.push((piece, order.deadline.saturating_sub(now)));
+        }
+        self.room.reserve(maker, room);
+        let address = table
+            .get(maker)
+            .map(|one| one.listed.address.clone())
+            .unwrap_or_default();
+        let waiting = self.waiting_of(service).map(Order::waiting_pieces).sum();
+        self.log.record(Event::BatchSent {
+            backend: maker.to_owned(),
+            service: service.to_owned(),
+            pieces: pieces.len(),
+            waiting,
+            room_taken: self.room.taken(maker),
+            requests: distinct_requests(&pieces),
+        });
+        let state = CallState {
+            instance: maker.to_owned(),
+            service: service.to_owned(),
+            members,
+            room,
+            began_at: now,
+        };
+        self.calls.insert(call, state);
+        BatchCall {
+            call,
+            instance: maker.to_owned(),
+            address,
+            pieces,
+        }
+    }
+
+    /// A call ended. Returns the orders that ended with it.
+    pub fn call_ended(
+        &mut self,
+        call: CallId,
+        outcome: CallOutcome,
+        now: Millis,
+    ) -> Vec<FinishedOrder> {
+        let Some(state) = self.calls.remove(&call) else {
+            return Vec::new();
+        };
+        self.room.unreserve(&state.instance, state.room);
+        self.log.record(Event::BatchEnded {
+            backend: state.instance.clone(),
+            outcome: outcome_name(&outcome).to_owned(),
+            took_ms: now.saturating_sub(state.began_at),
+        });
+        match outcome {
+            CallOutcome::Answered(results) => self.answered(&state, results, now),
+            CallOutcome::NotRun => {
+                self.refused_until
+                    .insert(state.instance.clone(), now + REFUSED_FOR);
+                self.put_back(&state, false)
+            }
+            CallOutcome::Unknown => self.put_back(&state, true),
+        }
+    }
+
+    fn answered(
+        &mut self,
+        call: &CallState,
+        results: PieceResults,
+        now: Millis,
+    ) -> Vec<FinishedOrder> {
+        let lifetime = self
+            .specs
+            .get(&call.service)
+            .map_or(0, |spec| spec.result_lifetime_ms);
+        let mut finished = Vec::new();
+        for ((key, index), result) in call.members.iter().zip(results) {
+            if let Ok(handle) = &result {
+                let bytes = self.bytes_of(key, *index);
+                self.room
+                    .hold(&call.instance, handle, bytes, now + lifetime);
+            }
+            if let Some(failure) = self.take_result(key, *index, result, &call.instance, now) {
+                finished.extend(self.fail(key, failure));
+            }
+        }
+        self.collect_whole(&call.members, &mut finished);
+        finished
+    }
+
+    fn bytes_of(&self, key: &OrderKey, index: usize) -> u64 {
+        let order = self.orders.get(key);
+        order.map_or(0, |order| order.work.pieces[index].result_bytes)
+    }
+
+    /// Takes a piece's result; returns why its order can't go on.
+    fn take_result(
+        &mut self,
+        key: &OrderKey,
+        index: usize,
+        result: Result<ResultHandle, PieceFailure>,
+        maker: &str,
+        now: Millis,
+    ) -> Option<PieceFailure> {
+        let Some(order) = self.orders.get_mut(key) else {
+            // Cancelled while the call ran.
+            if let Ok(handle) = result {
+                self.room.release(&[handle]);
+            }
+            return None;
+        };
+        match result {
+            Ok(handle) => {
+                order.states[index] = PieceState::Made(handle);
+                None
+            }
+            Err(PieceFailure::NoRoom) => {
+                self.refused_until
+                    .insert(maker.to_owned(), now + REFUSED_FOR);
+                order.put_back(index, false, MAX_CALLS_OF_PIECE)
+            }
+            Err(PieceFailure::Failed) => order.put_back(index, true, MAX_CALLS_OF_PIECE),
+            Err(failure) => Some(failure),
+        }
+    }
+
+    fn put_back(&mut self, call: &CallState, counts: bool) -> Vec<FinishedOrder> {
+        let mut finished = Vec::new();
+        for (key, index) in &call.members {
+            let order = self.orders.get_mut(key);
+            let failure =
+                order.and_then(|order| order.put_back(*index, counts, MAX_CALLS_OF_PIECE));
+            if let Some(failure) = failure {
+                finished.extend(self.fail(key, failure));
+            }
+        }
+        finished
+    }
+
+    fn fail(&mut self, key: &OrderKey, failure: PieceFailure) -> Option<FinishedOrder> {
+        let order = self.orders.remove(key)?;
+        self.room.release(&order.made());
+        Some(FinishedOrder {
+            key: key.clone(),
+            result: Err(failure),
+        })
+    }
+
+    fn collect_whole(&mut self, members: &[(OrderKey, usize)], finished: &mut Vec<FinishedOrder>) {
+        for (key, _) in members {
+            let is_whole = self.orders.get(key).is_some_and(Order::is_whole);
+            if !is_whole {
+                continue;
+            }
+            if let Some(order) = self.orders.remove(key) {
+                finished.push(FinishedOrder {
+                    key: key.clone(),
+                    result: Ok(order.made()),
+                });
+            }
+        }
+    }
+
+    /// Ends the orders whose time is over.
+    pub fn expire(&mut self, now: Millis) -> Vec<FinishedOrder> {
+        let late = self
+            .orders
+            .iter()
+            .filter(|(_, order)| order.deadline <= now);
+        let late: Vec<OrderKey> = late.map(|(key, _)| key.clone()).collect();
+        late.iter()
+            .filter_map(|key| self.fail(key, PieceFailure::Late))
+            .collect()
+    }
+
+    /// Orders that wait or are at work, and calls under way.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.orders.len(), self.calls.len())
+    }
+}
+
+fn distinct_requests(pieces: &[(Piece, u64)]) -> Vec<String> {
+    let mut requests: Vec<String> = pieces.iter().map(|(one, _)| one.request.clone()).collect();
+    requests.dedup();
+    requests
+}
+
+fn outcome_name(outcome: &CallOutcome) -> &'static str {
+    match outcome {
+        CallOutcome::Answered(results) if results.iter().all(Result::is_ok) => "made",
+        CallOutcome::Answered(_) => "made_in_part",
+        CallOutcome::NotRun => "not_run",
+        CallOutcome::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/serving/src/batcher/order.rs
@@ -0,0 +1,82 @@
+//! One order: all pieces of one phase of one request.
+
+use super::CallId;
+use crate::Millis;
+use silversail_peer::{PhaseWork, Piece, PieceFailure, ResultHandle};
+
+/// Where a piece is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum PieceState {
+    /// Waits for a call.
+    Waiting,
+    /// Takes part in a call.
+    InCall(CallId),
+    /// Made.
+    Made(ResultHandle),
+}
+
+/// An order and where its pieces are.
+pub(super) struct Order {
+    pub(super) work: PhaseWork,
+    pub(super) states: Vec<PieceState>,
+    /// When it should be done to keep the request's objective.
+    pub(super) wanted_at: Millis,
+    /// When the request ends.
+    pub(super) deadline: Millis,
+    calls: Vec<u32>,
+}
+
+impl Order {
+    pub(super) fn new(work: PhaseWork, now: Millis) -> Self {
+        Self {
+            states: vec![PieceState::Waiting; work.pieces.len()],
+            calls: vec![0; work.pieces.len()],
+            wanted_at: now + work.wanted_in_ms,
+            deadline: now + work.remaining_ms,
+            work,
+        }
+    }
+
+    /// Waiting pieces with their numbers.
+    pub(super) fn waiting(&self) -> impl Iterator<Item = (usize, &Piece)> {
+        let states = self.states.iter().enumerate();
+        states
+            .filter(|(_, state)| **state == PieceState::Waiting)
+            .map(|(index, _)| (index, &self.work.pieces[index]))
+    }
+
+    pub(super) fn waiting_pieces(&self) -> usize {
+        self.waiting().count()
+    }
+
+    /// Results made so far, in the order of the pieces.
+    pub(super) fn made(&self) -> Vec<ResultHandle> {
+        let states = self.states.iter();
+        states
+            .filter_map(|state| match state {
+                PieceState::Made(handle) => Some(handle.clone()),
+                PieceState::Waiting | PieceState::InCall(_) => None,
+            })
+            .collect()
+    }
+
+    pub(super) fn is_whole(&self) -> bool {
+        let mut states = self.states.iter();
+        states.all(|state| matches!(state, PieceState::Made(_)))
+    }
+
+    /// Lets a piece wait again. `counts` tells whether its call counts against
+    /// `most_calls`; returns why the order can't go on.
+    pub(super) fn put_back(
+        &mut self,
+        index: usize,
+        counts: bool,
+        most_calls: u32,
+    ) -> Option<PieceFailure> {
+        self.states[index] = PieceState::Waiting;
+        if counts {
+            self.calls[index] += 1;
+        }
+        (self.calls[index] >= most_calls).then_some(PieceFailure::Failed)
+    }
+}
--- /dev/null
+++ b/crates/serving/src/batcher/room.rs
@@ -0,0 +1,75 @@
+//! The room that results take at their makers.
+
+use crate::Millis;
+use silversail_peer::ResultHandle;
+use std::collections::BTreeMap;
+
+struct Held {
+    maker: String,
+    bytes: u64,
+    until: Millis,
+}
+
+/// Counts the room taken at each maker: by results held, and by calls under way.
+#[derive(Default)]
+pub(super) struct RoomBook {
+    taken: BTreeMap<String, u64>,
+    held: BTreeMap<ResultHandle, Held>,
+    releases: Vec<ResultHandle>,
+}
+
+impl RoomBook {
+    /// Bytes taken at a maker.
+    pub(super) fn taken(&self, maker: &str) -> u64 {
+        self.taken.get(maker).copied().unwrap_or_default()
+    }
+
+    /// A call that will make so many bytes begins.
+    pub(super) fn reserve(&mut self, maker: &str, bytes: u64) {
+        *self.taken.entry(maker.to_owned()).or_default() += bytes;
+    }
+
+    /// The call ended.
+    pub(super) fn unreserve(&mut self, maker: &str, bytes: u64) {
+        if let Some(taken) = self.taken.get_mut(maker) {
+            *taken = taken.saturating_sub(bytes);
+        }
+    }
+
+    /// A result is held until `until`, or until it is released.
+    pub(super) fn hold(&mut self, maker: &str, handle: &ResultHandle, bytes: u64, until: Millis) {
+        self.reserve(maker, bytes);
+        let held = Held {
+            maker: maker.to_owned(),
+            bytes,
+            until,
+        };
+        self.held.insert(handle.clone(), held);
+    }
+
+    /// Results are not needed any more.
+    pub(super) fn release(&mut self, handles: &[ResultHandle]) {
+        for handle in handles {
+            if let Some(held) = self.held.remove(handle) {
+                self.unreserve(&held.maker, held.bytes);
+            }
+            self.releases.push(handle.clone());
+        }
+    }
+
+    /// What must be freed at the makers.
+    pub(super) fn take_releases(&mut self) -> Vec<ResultHandle> {
+        std::mem::take(&mut self.releases)
+    }
+
+    /// Forgets results that their makers no longer keep.
+    pub(super) fn expire(&mut self, now: Millis) {
+        let over = self.held.iter().filter(|(_, held)| held.until <= now);
+        let over: Vec<ResultHandle> = over.map(|(handle, _)| handle.clone()).collect();
+        for handle in over {
+            if let Some(held) = self.held.remove(&handle) {
+                self.unreserve(&held.maker, held.bytes);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/dispatcher.rs
@@ -0,0 +1,719 @@
+//! One request from its arrival to its answer: phases first, then sends to
+//! engines until one answers, the time is over or nothing more may be tried.
+//!
+//! The dispatcher holds the state of all requests of a node. Its inputs return
+//! [`Action`]s, which the caller carries out.
+
+mod phases;
+mod request;
+
+use crate::instances::InstanceTable;
+use crate::ports::{CallAttributes, ReportedLoad, SendAttributes};
+use crate::retry_budget::{RetryBudget, RetryLimits};
+use crate::routes::{RouteError, RouteTable, Routed};
+use crate::selection::{affinity_key, select, SelectionRequest};
+use crate::Millis;
+use request::{ActiveRequest, PresentSend};
+use silversail_decisions::{DecisionLog, Event};
+use silversail_model::ResultCode;
+use silversail_peer::{PhaseWork, PieceFailure, ResultHandle, WorkId};
+use std::collections::BTreeMap;
+
+/// When a caller is told to come back after a refusal under load, in
+/// milliseconds.
+const RETRY_AFTER_LOAD: u64 = 600;
+/// When a caller is told to come back after anything else, in milliseconds.
+const RETRY_AFTER: u64 = 250;
+/// How often the phases of a request may be done anew, after a result was lost.
+const MAX_RESTARTS: u32 = 1;
+
+/// Identifies a request at its node.
+pub type RequestNumber = u64;
+
+/// A refusal, or a request given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Numbered code; it tells the status.
+    pub code: ResultCode,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// A request to be sent to an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SendPlan {
+    /// Identity of the engine.
+    pub instance: String,
+    /// Its address.
+    pub address: String,
+    /// What goes with the request.
+    pub attributes: SendAttributes,
+    /// When the request ends.
+    pub end: Millis,
+    /// Whether the answer is a stream.
+    pub is_stream: bool,
+    /// Whether a failure of the engine may be kept from the caller, as the request
+    /// can be sent again.
+    pub may_repeat: bool,
+}
+
+/// What the caller of the dispatcher has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Answer the caller.
+    Answer {
+        /// The request.
+        number: RequestNumber,
+        /// The answer.
+        refusal: Refusal,
+    },
+    /// Send the request to an engine.
+    Send {
+        /// The request.
+        number: RequestNumber,
+        /// Where and how.
+        plan: SendPlan,
+    },
+    /// Have a phase's pieces made.
+    Submit {
+        /// Identifies the order.
+        work: WorkId,
+        /// The request's identifier, for the log.
+        request: String,
+        /// The pieces.
+        phase: PhaseWork,
+    },
+    /// Drop an order.
+    Cancel {
+        /// The order.
+        work: WorkId,
+        /// Its service.
+        service: String,
+    },
+    /// Free results.
+    Release {
+        /// The service that made them.
+        service: String,
+        /// The results.
+        handles: Vec<ResultHandle>,
+    },
+}
+
+/// Why an engine is known not to have run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotRunReason {
+    /// It was not reached: nothing was sent.
+    Unreachable,
+    /// It said that it is full.
+    Full,
+    /// Another engine has its address.
+    Misplaced,
+    /// A result that it needs is gone.
+    InputsGone,
+    /// It said so for another reason.
+    Refused,
+}
+
+/// Why it is not known whether an engine ran a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnknownReason {
+    /// The connection broke before the answer's head.
+    Broken,
+    /// The answer is not in the protocol, or names another request.
+    Garbled,
+    /// The time was over.
+    Deadline,
+}
+
+/// What came of a send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendOutcome {
+    /// The engine's answer went to the caller, as far as it came.
+    Delivered {
+        /// Its status.
+        status: u16,
+        /// Whether it was whole.
+        is_whole: bool,
+    },
+    /// The engine did not run the request.
+    NotRun(NotRunReason),
+    /// It may have run.
+    Unknown(UnknownReason),
+    /// It ran and failed with this status, and the answer was not passed on.
+    Failed {
+        /// Its status.
+        status: u16,
+    },
+}
+
+/// All requests of a node.
+pub struct Dispatcher {
+    zone: String,
+    routes: Option<RouteTable>,
+    /// The back ends.
+    pub instances: InstanceTable,
+    budget: RetryBudget,
+    nodes: usize,
+    requests: BTreeMap<RequestNumber, ActiveRequest>,
+    works: BTreeMap<WorkId, (RequestNumber, usize)>,
+    next_work: WorkId,
+    log: DecisionLog,
+}
+
+impl Dispatcher {
+    /// A dispatcher in `zone` without configuration or back ends. Orders of
+    /// work are numbered from `first_work`, which differs between processes of a
+    /// node.
+    pub fn new(zone: &str, limits: RetryLimits, first_work: WorkId, log: DecisionLog) -> Self {
+        Self {
+            zone: zone.to_owned(),
+            routes: None,
+            instances: InstanceTable::new(log.clone()),
+            budget: RetryBudget::new(limits),
+            nodes: 1,
+            requests: BTreeMap::new(),
+            works: BTreeMap::new(),
+            next_work: first_work,
+            log,
+        }
+    }
+
+    /// Takes another traffic configuration.
+    pub fn set_routes(&mut self, routes: RouteTable) {
+        self.routes = Some(routes);
+    }
+
+    /// Takes how many nodes share the retry allowance.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.nodes = nodes.max(1);
+    }
+
+    /// Requests under way.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether a request is under way.
+    pub fn is_open(&self, number: RequestNumber) -> bool {
+        self.requests.contains_key(&number)
+    }
+
+    /// Refuses a request that was not taken in.
+    pub fn refuse(
+        &self,
+        number: RequestNumber,
+        call: &CallAttributes,
+        code: ResultCode,
+    ) -> Vec<Action> {
+        vec![self.refuse_unknown(number, call, code)]
+    }
+
+    /// A request arrived.
+    pub fn arrive(
+        &mut self,
+        number: RequestNumber,
+        call: CallAttributes,
+        now: Millis,
+    ) -> Vec<Action> {
+        let routed = match self.routed(&call) {
+            Ok(routed) => routed,
+            Err(code) => return vec![self.refuse_unknown(number, &call, code)],
+        };
+        let timeout = routed.route.timeout_ms;
+        let wait = call
+            .deadline_ms
+            .map_or(timeout, |deadline| deadline.min(timeout));
+        self.budget.request(&routed.service, now);
+        self.log.record(Event::Admitted {
+            request: call.id.clone(),
+            route: routed.route.name.clone(),
+            service: routed.service.clone(),
+            version: self.version(),
+            remaining_ms: wait,
+            phases: routed.route.phases.len(),
+        });
+        let request = ActiveRequest::new(call, routed, now, now + wait);
+        self.requests.insert(number, request);
+        self.advance(number, now)
+    }
+
+    fn version(&self) -> u64 {
+        self.routes.as_ref().map_or(0, RouteTable::version)
+    }
+
+    fn routed(&self, call: &CallAttributes) -> Result<Routed, ResultCode> {
+        let Some(routes) = &self.routes else {
+            return Err(ResultCode::NoTrafficConfiguration);
+        };
+        routes.route(call).map_err(|error| match error {
+            RouteError::NoRoute => ResultCode::UnknownRoute,
+            RouteError::UnknownKey => ResultCode::UnknownKey,
+        })
+    }
+
+    fn refuse_unknown(
+        &self,
+        number: RequestNumber,
+        call: &CallAttributes,
+        code: ResultCode,
+    ) -> Action {
+        let refusal = Refusal {
+            code,
+            retry_after_ms: retry_after(code),
+        };
+        self.log_refusal(&call.id, &refusal, 0, 0);
+        Action::Answer { number, refusal }
+    }
+
+    fn log_refusal(&self, request: &str, refusal: &Refusal, after_ms: u64, sends: u32) {
+        self.log.record(Event::Refused {
+            request: request.to_owned(),
+            status: refusal.code.http_status(),
+            code: refusal.code.number(),
+            reason: refusal.code.reason().to_owned(),
+            version: self.version(),
+            after_ms,
+            sends,
+            retry_after_ms: refusal.retry_after_ms.unwrap_or_default(),
+        });
+    }
+
+    /// Starts what a request can do next: phases, or the send.
+    fn advance(&mut self, number: RequestNumber, now: Millis) -> Vec<Action> {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return Vec::new();
+        };
+        if request.phases.all_done() {
+            return self.send(number, now);
+        }
+        let mut actions = Vec::new();
+        for phase in request.phases.startable() {
+            let work = self.next_work;
+            self.next_work += 1;
+            self.works.insert(work, (number, phase));
+            request.phases.submitted(phase, work, now);
+            actions.push(Action::Submit {
+                work,
+                request: request.call.id.clone(),
+                phase: request.phase_work(phase, now),
+            });
+        }
+        actions
+    }
+
+    /// A phase ended.
+    pub fn phase_done(
+        &mut self,
+        work: WorkId,
+        result: Result<Vec<ResultHandle>, PieceFailure>,
+        now: Millis,
+    ) -> Vec<Action> {
+        let Some((number, phase)) = self.works.remove(&work) else {
+            return Vec::new();
+        };
+        let Some(request) = self.requests.get_mut(&number) else {
+            return Vec::new();
+        };
+        self.log.record(Event::PhaseDone {
+            request: request.call.id.clone(),
+            phase: phase as u32,
+            outcome: match &result {
+                Ok(_) => "made".to_owned(),
+                Err(failure) => format!("{failure:?}"),
+            },
+            took_ms: request.phases.took_ms(phase, now),
+        });
+        match result {
+            Ok(handles) => {
+                let mut actions = request.phase_made(phase, handles);
+                actions.extend(self.advance(number, now));
+                actions
+            }
+            Err(PieceFailure::InputGone) => self.restart(number, now),
+            Err(failure) => self.give_up(number, phase_code(failure), now),
+        }
+    }
+
+    /// A result was lost: the phases are done anew, if there is time.
+    fn restart(&mut self, number: RequestNumber, now: Millis) -> Vec<Action> {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return Vec::new();
+        };
+        if request.restarts >= MAX_RESTARTS {
+            return self.give_up(number, ResultCode::PhaseFailed, now);
+        }
+        request.restarts += 1;
+        let mut actions = request.drop_phases();
+        request.reset_phases();
+        self.forget_works(&actions);
+        actions.extend(self.advance(number, now));
+        actions
+    }
+
+    fn forget_works(&mut self, actions: &[Action]) {
+        for action in actions {
+            if let Action::Cancel { work, .. } = action {
+                self.works.remove(work);
+            }
+        }
+    }
+
+    fn send(&mut self, number: RequestNumber, now: Millis) -> Vec<Action> {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return Vec::new();
+        };
+        let affinity = match request.routed.route.has_prefix {
+            true => affinity_key(&request.call.prefix),
+            false => None,
+        };
+        let selection = SelectionRequest {
+            service: &request.routed.service,
+            zone: &self.zone,
+            affinity,
+            tried: &request.tried,
+        };
+        let Some(instance) = select(&self.instances, &selection, now) else {
+            return self.give_up(number, ResultCode::NoBackend, now);
+        };
+        let report = instance.report(now);
+        self.log.record(Event::Sent {
+            request: request.call.id.clone(),
+            backend: instance.listed.id.clone(),
+            send: request.sends + 1,
+            in_flight: instance.in_flight,
+            reported: report.map_or(0, |(load, _)| load.running + load.waiting),
+            report_age_ms: report.map(|(_, age)| age),
+            remaining_ms: request.end.saturating_sub(now),
+        });
+        let plan = SendPlan {
+            instance: instance.listed.id.clone(),
+            address: instance.listed.address.clone(),
+            attributes: request.send_attributes(&instance.listed.id, now),
+            end: request.end,
+            is_stream: request.routed.route.kind.is_stream(),
+            may_repeat: request.routed.route.kind.is_idempotent()
+                && request.sends + 1 < request.routed.route.max_attempts,
+        };
+        request.sends += 1;
+        request.tried.push(plan.instance.clone());
+        request.present = Some(PresentSend {
+            instance: plan.instance.clone(),
+            began_at: now,
+        });
+        let tokens = request.tokens();
+        self.instances.sent(&plan.instance, tokens);
+        vec![Action::Send { number, plan }]
+    }
+
+    /// The head of an engine's answer came: it has read what it needs.
+    pub fn head_received(
+        &mut self,
+        number: RequestNumber,
+        load: Option<ReportedLoad>,
+        now: Millis,
+    ) -> Vec<Action> {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return Vec::new();
+        };
+        request.head_at.get_or_insert(now);
+        if let Some(present) = &request.present {
+            if let Some(load) = load {
+                self.instances.reported(&present.instance, load, now);
+            }
+            self.instances.answered(&present.instance);
+        }
+        request.drop_phases()
+    }
+
+    /// A send ended.
+    pub fn send_ended(
+        &mut self,
+        number: RequestNumber,
+        outcome: SendOutcome,
+        load: Option<ReportedLoad>,
+        now: Millis,
+    ) -> Vec<Action> {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return Vec::new();
+        };
+        let Some(present) = request.present.take() else {
+            return Vec::new();
+        };
+        let tokens = request.tokens();
+        self.instances.ended(&present.instance, tokens);
+        if let Some(load) = load {
+            self.instances.reported(&present.instance, load, now);
+        }
+        self.believe(&present.instance, outcome, now);
+        match outcome {
+            SendOutcome::Delivered { status, is_whole } => {
+                self.delivered(number, &present.instance, status, is_whole, now)
+            }
+            SendOutcome::NotRun(reason) => self.not_run(number, &present, reason, now),
+            SendOutcome::Unknown(reason) => self.unknown(number, &present, reason, now),
+            SendOutcome::Failed { status } => self.failed(number, &present, status, now),
+        }
+    }
+
+    /// What an outcome says of the engine.
+    fn believe(&mut self, instance: &str, outcome: SendOutcome, now: Millis) {
+        let instances = &mut self.instances;
+        match outcome {
+            SendOutcome::Delivered { is_whole: true, .. } | SendOutcome::Failed { .. } => {}
+            SendOutcome::Delivered { .. } => instances.failed(instance, now, "answer_broken"),
+            SendOutcome::NotRun(NotRunReason::Unreachable) => {
+                instances.failed(instance, now, "unreachable");
+            }
+            SendOutcome::NotRun(NotRunReason::Full) => instances.full(instance, now),
+            SendOutcome::NotRun(NotRunReason::Misplaced) => instances.misplaced(instance),
+            SendOutcome::NotRun(NotRunReason::InputsGone | NotRunReason::Refused) => {}
+            SendOutcome::Unknown(UnknownReason::Deadline) => {}
+            SendOutcome::Unknown(UnknownReason::Broken) => {
+                instances.failed(instance, now, "broken");
+            }
+            SendOutcome::Unknown(UnknownReason::Garbled) => {
+                instances.failed(instance, now, "garbled");
+            }
+        }
+    }
+
+    fn delivered(
+        &mut self,
+        number: RequestNumber,
+        instance: &str,
+        status: u16,
+        is_whole: bool,
+        now: Millis,
+    ) -> Vec<Action> {
+        let Some(mut request) = self.requests.remove(&number) else {
+            return Vec::new();
+        };
+        self.log.record(Event::Answered {
+            request: request.call.id.clone(),
+            backend: instance.to_owned(),
+            status,
+            head_ms: request.head_at.unwrap_or(now) - request.arrived_at,
+            total_ms: now - request.arrived_at,
+            end: if is_whole { "whole" } else { "broken" }.to_owned(),
+        });
+        request.drop_phases()
+    }
+
+    fn not_run(
+        &mut self,
+        number: RequestNumber,
+        present: &PresentSend,
+        reason: NotRunReason,
+        now: Millis,
+    ) -> Vec<Action> {
+        if reason == NotRunReason::InputsGone {
+            self.log_send_failed(number, present, "not_run", "InputsGone", "retry", now);
+            return self.restart(number, now);
+        }
+        // Nothing reached an engine that was not reached, so that costs nothing.
+        let is_free = reason == NotRunReason::Unreachable;
+        let next = if is_free {
+            None
+        } else {
+            self.take_retry(number, now)
+        };
+        let text = format!("{reason:?}");
+        match next {
+            None => {
+                self.log_send_failed(number, present, "not_run", &text, "retry", now);
+                self.send_again(number, ResultCode::BackendRefused, now)
+            }
+            Some(code) => {
+                self.log_send_failed(number, present, "not_run", &text, code.reason(), now);
+                self.give_up(number, code, now)
+            }
+        }
+    }
+
+    fn unknown(
+        &mut self,
+        number: RequestNumber,
+        present: &PresentSend,
+        reason: UnknownReason,
+        now: Millis,
+    ) -> Vec<Action> {
+        let is_idempotent = self.is_idempotent(number);
+        let code = match (reason, is_idempotent) {
+            (UnknownReason::Deadline, true) => ResultCode::DeadlineMissed,
+            (UnknownReason::Deadline, false) => ResultCode::DeadlineWhileSent,
+            (UnknownReason::Garbled, true) => ResultCode::BackendProtocol,
+            (_, true) => ResultCode::BackendFailed,
+            (_, false) => ResultCode::AnswerLost,
+        };
+        let may_repeat = is_idempotent && reason != UnknownReason::Deadline;
+        self.repeat_or(
+            number,
+            present,
+            may_repeat,
+            "unknown",
+            &format!("{reason:?}"),
+            code,
+            now,
+        )
+    }
+
+    fn failed(
+        &mut self,
+        number: RequestNumber,
+        present: &PresentSend,
+        status: u16,
+        now: Millis,
+    ) -> Vec<Action> {
+        let may_repeat = self.is_idempotent(number);
+        let text = format!("status_{status}");
+        self.repeat_or(
+            number,
+            present,
+            may_repeat,
+            "failed",
+            &text,
+            ResultCode::BackendFailed,
+            now,
+        )
+    }
+
+    /// Sends again where that is allowed, else gives up with `code`.
+    #[allow(clippy::too_many_arguments)]
+    fn repeat_or(
+        &mut self,
+        number: RequestNumber,
+        present: &PresentSend,
+        may_repeat: bool,
+        outcome: &str,
+        reason: &str,
+        code: ResultCode,
+        now: Millis,
+    ) -> Vec<Action> {
+        let request = self.requests.get(&number);
+        let has_attempts = request.is_some_and(ActiveRequest::has_attempts_left);
+        if may_repeat && has_attempts && self.take_retry(number, now).is_none() {
+            self.log_send_failed(number, present, outcome, reason, "retry", now);
+            return self.send_again(number, code, now);
+        }
+        self.log_send_failed(number, present, outcome, reason, code.reason(), now);
+        self.give_up(number, code, now)
+    }
+
+    fn is_idempotent(&self, number: RequestNumber) -> bool {
+        let request = self.requests.get(&number);
+        request.is_some_and(|request| request.routed.route.kind.is_idempotent())
+    }
+
+    /// Whether one more send may be tried: a code where not.
+    fn take_retry(&mut self, number: RequestNumber, now: Millis) -> Option<ResultCode> {
+        let request = self.requests.get(&number)?;
+        if !self.budget.take(&request.routed.service, self.nodes, now) {
+            return Some(ResultCode::RetryBudgetSpent);
+        }
+        None
+    }
+
+    fn send_again(&mut self, number: RequestNumber, code: ResultCode, now: Millis) -> Vec<Action> {
+        let has_untried = self.requests.get(&number).is_some_and(|request| {
+            let mut all = self.instances.of_service(&request.routed.service);
+            request.sends < request.most_sends()
+                && all.any(|one| !one.listed.draining && !request.tried.contains(&one.listed.id))
+        });
+        if has_untried {
+            return self.send(number, now);
+        }
+        self.give_up(number, code, now)
+    }
+
+    fn log_send_failed(
+        &self,
+        number: RequestNumber,
+        present: &PresentSend,
+        outcome: &str,
+        reason: &str,
+        why: &str,
+        now: Millis,
+    ) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let next = if why == "retry" { "retry" } else { "give_up" };
+        self.log.record(Event::SendFailed {
+            request: request.call.id.clone(),
+            backend: present.instance.clone(),
+            outcome: outcome.to_owned(),
+            reason: reason.to_owned(),
+            took_ms: now.saturating_sub(present.began_at),
+            next: next.to_owned(),
+            why: why.to_owned(),
+        });
+    }
+
+    /// Ends a request with an answer of this node's own.
+    fn give_up(&mut self, number: RequestNumber, code: ResultCode, now: Millis) -> Vec<Action> {
+        let Some(mut request) = self.requests.remove(&number) else {
+            return Vec::new();
+        };
+        let refusal = Refusal {
+            code,
+            retry_after_ms: retry_after(code),
+        };
+        let after_ms = now.saturating_sub(request.arrived_at);
+        self.log_refusal(&request.call.id, &refusal, after_ms, request.sends);
+        let mut actions = request.drop_phases();
+        self.forget_works(&actions);
+        actions.push(Action::Answer { number, refusal });
+        actions
+    }
+
+    /// The caller left.
+    pub fn caller_gone(&mut self, number: RequestNumber, now: Millis) -> Vec<Action> {
+        let Some(mut request) = self.requests.remove(&number) else {
+            return Vec::new();
+        };
+        if let Some(present) = request.present.take() {
+            let tokens = request.tokens();
+            self.instances.ended(&present.instance, tokens);
+        }
+        self.log.record(Event::CallerGone {
+            request: request.call.id.clone(),
+            after_ms: now.saturating_sub(request.arrived_at),
+            sends: request.sends,
+        });
+        let actions = request.drop_phases();
+        self.forget_works(&actions);
+        actions
+    }
+
+    /// Ends the requests whose time is over before they were sent.
+    pub fn expire(&mut self, now: Millis) -> Vec<Action> {
+        let over = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.present.is_none() && request.end <= now);
+        let over: Vec<RequestNumber> = over.map(|(number, _)| *number).collect();
+        over.into_iter()
+            .flat_map(|number| self.give_up(number, ResultCode::TimeOverBeforeSend, now))
+            .collect()
+    }
+}
+
+fn phase_code(failure: PieceFailure) -> ResultCode {
+    match failure {
+        PieceFailure::Overloaded => ResultCode::PhaseOverloaded,
+        PieceFailure::Late => ResultCode::TimeOverBeforeSend,
+        PieceFailure::NoBackend => ResultCode::NoBackend,
+        PieceFailure::InputGone | PieceFailure::NoRoom | PieceFailure::Failed => {
+            ResultCode::PhaseFailed
+        }
+    }
+}
+
+/// When a caller shall come back; none where that would not help.
+fn retry_after(code: ResultCode) -> Option<u64> {
+    match code {
+        ResultCode::PhaseOverloaded => Some(RETRY_AFTER_LOAD),
+        code if code.http_status() == 503 => Some(RETRY_AFTER),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/serving/src/dispatcher/phases.rs
@@ -0,0 +1,170 @@
+//! The phases of one request: which can start, and what is held of their results.
+
+use crate::Millis;
+use silversail_model::traffic::PhaseSpec;
+use silversail_peer::{PieceSource, ResultHandle, WorkId};
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum PhaseState {
+    /// The request has no piece of it.
+    LeftOut,
+    /// Waits for phases before it.
+    Waiting,
+    /// Its pieces are being made.
+    Submitted(WorkId),
+    /// Its results, until they are freed.
+    Made(Vec<ResultHandle>),
+}
+
+struct Phase {
+    after: Vec<usize>,
+    pieces: u32,
+    state: PhaseState,
+    submitted_at: Millis,
+}
+
+/// The phases of one request.
+pub(super) struct PhaseBook {
+    phases: Vec<Phase>,
+}
+
+impl PhaseBook {
+    /// The phases of a route with the request's numbers of pieces.
+    pub(super) fn new(specs: &[PhaseSpec], pieces: &[u32]) -> Self {
+        let phases = specs
+            .iter()
+            .enumerate()
+            .map(|(number, spec)| {
+                let pieces = pieces.get(number).copied().unwrap_or_default();
+                let state = match pieces {
+                    0 => PhaseState::LeftOut,
+                    _ => PhaseState::Waiting,
+                };
+                Phase {
+                    after: spec.after.clone(),
+                    pieces,
+                    state,
+                    submitted_at: 0,
+                }
+            })
+            .collect();
+        Self { phases }
+    }
+
+    pub(super) fn pieces(&self, phase: usize) -> u32 {
+        self.phases[phase].pieces
+    }
+
+    fn is_over(&self, phase: usize) -> bool {
+        let state = &self.phases[phase].state;
+        matches!(state, PhaseState::LeftOut | PhaseState::Made(_))
+    }
+
+    pub(super) fn all_done(&self) -> bool {
+        (0..self.phases.len()).all(|phase| self.is_over(phase))
+    }
+
+    /// Phases that wait for nothing.
+    pub(super) fn startable(&self) -> Vec<usize> {
+        (0..self.phases.len())
+            .filter(|phase| self.phases[*phase].state == PhaseState::Waiting)
+            .filter(|phase| {
+                let mut before = self.phases[*phase].after.iter();
+                before.all(|before| self.is_over(*before))
+            })
+            .collect()
+    }
+
+    pub(super) fn submitted(&mut self, phase: usize, work: WorkId, now: Millis) {
+        self.phases[phase].state = PhaseState::Submitted(work);
+        self.phases[phase].submitted_at = now;
+    }
+
+    pub(super) fn took_ms(&self, phase: usize, now: Millis) -> u64 {
+        now.saturating_sub(self.phases[phase].submitted_at)
+    }
+
+    pub(super) fn made(&mut self, phase: usize, handles: Vec<ResultHandle>) {
+        self.phases[phase].state = PhaseState::Made(handles);
+    }
+
+    /// From what the pieces of a phase are made.
+    pub(super) fn source(&self, phase: usize, key: &str) -> PieceSource {
+        let results = self.results_of(self.phases[phase].after.iter().copied());
+        if results.is_empty() {
+            PieceSource::Key(key.to_owned())
+        } else {
+            PieceSource::Results(results)
+        }
+    }
+
+    fn results_of(&self, phases: impl Iterator<Item = usize>) -> Vec<ResultHandle> {
+        let states = phases.map(|phase| &self.phases[phase].state);
+        states
+            .filter_map(|state| match state {
+                PhaseState::Made(handles) => Some(handles.clone()),
+                _ => None,
+            })
+            .flatten()
+            .collect()
+    }
+
+    /// Phases of this request that need the results of `phase`.
+    fn followers(&self, phase: usize) -> impl Iterator<Item = &Phase> {
+        let phases = self.phases.iter();
+        phases.filter(move |one| one.after.contains(&phase) && one.state != PhaseState::LeftOut)
+    }
+
+    /// How many phases in a row come after `phase`.
+    pub(super) fn phases_after(&self, phase: usize) -> usize {
+        (phase + 1..self.phases.len())
+            .filter(|later| self.phases[*later].after.contains(&phase))
+            .filter(|later| self.phases[*later].state != PhaseState::LeftOut)
+            .map(|later| 1 + self.phases_after(later))
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Results that the engine needs: those of the phases that no other follows.
+    pub(super) fn last_results(&self) -> Vec<ResultHandle> {
+        let last = (0..self.phases.len()).filter(|phase| self.followers(*phase).count() == 0);
+        self.results_of(last)
+    }
+
+    /// Takes the results whose followers are all made.
+    pub(super) fn take_used_up(&mut self) -> Vec<(usize, Vec<ResultHandle>)> {
+        let is_made = |one: &Phase| matches!(one.state, PhaseState::Made(_));
+        let used_up: Vec<usize> = (0..self.phases.len())
+            .filter(|phase| self.followers(*phase).count() > 0)
+            .filter(|phase| self.followers(*phase).all(is_made))
+            .collect();
+        self.take(used_up)
+    }
+
+    /// Takes all results.
+    pub(super) fn take_results(&mut self) -> Vec<(usize, Vec<ResultHandle>)> {
+        self.take((0..self.phases.len()).collect())
+    }
+
+    fn take(&mut self, phases: Vec<usize>) -> Vec<(usize, Vec<ResultHandle>)> {
+        phases
+            .into_iter()
+            .filter_map(|phase| match &mut self.phases[phase].state {
+                PhaseState::Made(handles) => Some((phase, std::mem::take(handles))),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Takes the orders that are under way.
+    pub(super) fn take_orders(&mut self) -> Vec<(usize, WorkId)> {
+        let mut orders = Vec::new();
+        for (number, phase) in self.phases.iter_mut().enumerate() {
+            if let PhaseState::Submitted(work) = phase.state {
+                orders.push((number, work));
+                phase.state = PhaseState::Waiting;
+            }
+        }
+        orders
+    }
+}
--- /dev/null
+++ b/crates/serving/src/dispatcher/request.rs
@@ -0,0 +1,144 @@
+//! One request under way.
+
+use super::phases::PhaseBook;
+use super::Action;
+use crate::ports::{CallAttributes, SendAttributes};
+use crate::routes::Routed;
+use crate::Millis;
+use silversail_peer::{PhaseWork, Piece, ResultHandle};
+
+/// How long a phase and what comes around it takes at least, in milliseconds:
+/// what a phase leaves to each of those after it.
+const TIME_OF_LATER_PHASE: Millis = 350;
+/// Most sends of a request, those to engines that were not reached included.
+const MAX_SENDS: u32 = 5;
+
+/// The send that is under way.
+pub(super) struct PresentSend {
+    pub(super) instance: String,
+    pub(super) began_at: Millis,
+}
+
+/// A request under way.
+pub(super) struct ActiveRequest {
+    pub(super) call: CallAttributes,
+    pub(super) routed: Routed,
+    pub(super) arrived_at: Millis,
+    /// When the caller's wait or the route's time is over.
+    pub(super) end: Millis,
+    pub(super) phases: PhaseBook,
+    pub(super) sends: u32,
+    pub(super) tried: Vec<String>,
+    pub(super) present: Option<PresentSend>,
+    pub(super) head_at: Option<Millis>,
+    pub(super) restarts: u32,
+}
+
+impl ActiveRequest {
+    pub(super) fn new(call: CallAttributes, routed: Routed, now: Millis, end: Millis) -> Self {
+        let phases = PhaseBook::new(&routed.route.phases, &call.pieces);
+        Self {
+            call,
+            routed,
+            arrived_at: now,
+            end,
+            phases,
+            sends: 0,
+            tried: Vec::new(),
+            present: None,
+            head_at: None,
+            restarts: 0,
+        }
+    }
+
+    /// Tokens that the request may take at an engine.
+    pub(super) fn tokens(&self) -> u64 {
+        u64::from(self.call.prompt_tokens) + u64::from(self.call.answer_tokens)
+    }
+
+    pub(super) fn has_attempts_left(&self) -> bool {
+        self.sends < self.routed.route.max_attempts
+    }
+
+    pub(super) fn most_sends(&self) -> u32 {
+        MAX_SENDS
+    }
+
+    pub(super) fn reset_phases(&mut self) {
+        self.phases = PhaseBook::new(&self.routed.route.phases, &self.call.pieces);
+    }
+
+    /// The pieces of a phase.
+    pub(super) fn phase_work(&self, phase: usize, now: Millis) -> PhaseWork {
+        let spec = &self.routed.route.phases[phase];
+        let source = self.phases.source(phase, &self.call.piece_key);
+        let pieces = (0..self.phases.pieces(phase))
+            .map(|index| Piece {
+                request: self.call.id.clone(),
+                phase: phase as u32,
+                index,
+                source: source.clone(),
+                result_bytes: spec.result_bytes,
+            })
+            .collect();
+        let later = self.phases.phases_after(phase) as Millis;
+        let objective = self.arrived_at + self.routed.route.objective_ms;
+        let wanted_at = objective.saturating_sub(TIME_OF_LATER_PHASE * later);
+        PhaseWork {
+            service: spec.service.clone(),
+            pieces,
+            priority: self.routed.priority,
+            wanted_in_ms: wanted_at.saturating_sub(now),
+            remaining_ms: self.end.saturating_sub(now),
+        }
+    }
+
+    /// A phase's results came. Results that nothing needs any more are freed.
+    pub(super) fn phase_made(&mut self, phase: usize, handles: Vec<ResultHandle>) -> Vec<Action> {
+        self.phases.made(phase, handles);
+        let used_up = self.phases.take_used_up();
+        self.releases(used_up)
+    }
+
+    /// Drops orders that are under way and frees all results.
+    pub(super) fn drop_phases(&mut self) -> Vec<Action> {
+        let mut actions: Vec<Action> = self
+            .phases
+            .take_orders()
+            .into_iter()
+            .map(|(phase, work)| Action::Cancel {
+                work,
+                service: self.routed.route.phases[phase].service.clone(),
+            })
+            .collect();
+        let held = self.phases.take_results();
+        actions.extend(self.releases(held));
+        actions
+    }
+
+    fn releases(&self, results: Vec<(usize, Vec<ResultHandle>)>) -> Vec<Action> {
+        results
+            .into_iter()
+            .filter(|(_, handles)| !handles.is_empty())
+            .map(|(phase, handles)| Action::Release {
+                service: self.routed.route.phases[phase].service.clone(),
+                handles,
+            })
+            .collect()
+    }
+
+    /// What goes with a send to `instance`.
+    pub(super) fn send_attributes(&self, instance: &str, now: Millis) -> SendAttributes {
+        SendAttributes {
+            instance: instance.to_owned(),
+            remaining_ms: self.end.saturating_sub(now),
+            tenant: self.routed.tenant.clone(),
+            priority: self
+                .routed
+                .route
+                .has_prefix
+                .then_some(self.routed.priority.min(9)),
+            inputs: self.phases.last_results(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/instances.rs
@@ -0,0 +1,245 @@
+//! The back ends and what this node believes of each.
+
+use crate::ports::{ListedInstance, ReportedLoad};
+use crate::Millis;
+use silversail_decisions::{DecisionLog, Event};
+use std::collections::BTreeMap;
+
+/// How long a back end that could not be reached, or broke off, is passed over
+/// after the first failure, in milliseconds; each further one doubles it.
+const SUSPECT_FOR: Millis = 500;
+/// Most doublings of it.
+const MAX_DOUBLINGS: u32 = 4;
+/// How long a back end that said it is full is passed over, in milliseconds.
+const FULL_FOR: Millis = 150;
+/// How long a load report counts, in milliseconds.
+const REPORT_LIFETIME: Millis = 4_000;
+
+/// Identity of one start of a back end.
+pub type InstanceId = String;
+
+/// A back end with what is believed of it.
+#[derive(Clone, Debug)]
+pub struct Instance {
+    /// What the list says.
+    pub listed: ListedInstance,
+    /// Requests of this node under way there.
+    pub in_flight: u32,
+    /// Tokens of those requests.
+    pub tokens_in_flight: u64,
+    /// The latest load report and when it came.
+    load: Option<(ReportedLoad, Millis)>,
+    /// Requests of this node sent since that report.
+    sent_since_report: u32,
+    failures: u32,
+    suspect_until: Millis,
+    full_until: Millis,
+}
+
+impl Instance {
+    fn new(listed: ListedInstance) -> Self {
+        Self {
+            listed,
+            in_flight: 0,
+            tokens_in_flight: 0,
+            load: None,
+            sent_since_report: 0,
+            failures: 0,
+            suspect_until: 0,
+            full_until: 0,
+        }
+    }
+
+    /// Whether it may be chosen at `now`.
+    pub fn is_usable(&self, now: Millis) -> bool {
+        !self.listed.draining && now >= self.suspect_until && now >= self.full_until
+    }
+
+    /// Whether it failed lately and is passed over.
+    pub fn is_suspect(&self, now: Millis) -> bool {
+        now < self.suspect_until
+    }
+
+    /// The latest report with its age; none when it is too old to count.
+    pub fn report(&self, now: Millis) -> Option<(ReportedLoad, Millis)> {
+        let (load, at) = self.load?;
+        let age = now.saturating_sub(at);
+        (age < REPORT_LIFETIME).then_some((load, age))
+    }
+
+    /// Requests running and waiting there: what it reported and what this node
+    /// sent since, or at least what this node has under way.
+    pub fn expected_load(&self, now: Millis) -> u32 {
+        let reported = self
+            .report(now)
+            .map_or(0, |(load, _)| load.running + load.waiting);
+        (reported + self.sent_since_report).max(self.in_flight)
+    }
+
+    /// Expected load as a share of the slots.
+    pub fn utilization(&self, now: Millis) -> f64 {
+        f64::from(self.expected_load(now)) / f64::from(self.listed.slots.max(1))
+    }
+}
+
+/// All back ends that the list names.
+pub struct InstanceTable {
+    instances: BTreeMap<InstanceId, Instance>,
+    by_service: BTreeMap<String, Vec<InstanceId>>,
+    log: DecisionLog,
+}
+
+impl InstanceTable {
+    /// A table without back ends.
+    pub fn new(log: DecisionLog) -> Self {
+        Self {
+            instances: BTreeMap::new(),
+            by_service: BTreeMap::new(),
+            log,
+        }
+    }
+
+    /// Takes in a whole list. True when something changed.
+    pub fn replace(&mut self, listed: Vec<ListedInstance>) -> bool {
+        let mut next = BTreeMap::new();
+        let mut changed = false;
+        for entry in listed {
+            let instance = match self.instances.remove(&entry.id) {
+                Some(mut known) => {
+                    if known.listed.draining != entry.draining {
+                        changed = true;
+                        self.note(&entry, if entry.draining { "draining" } else { "ready" });
+                    }
+                    known.listed = entry;
+                    known
+                }
+                None => {
+                    changed = true;
+                    self.note(&entry, if entry.draining { "draining" } else { "ready" });
+                    Instance::new(entry)
+                }
+            };
+            next.insert(instance.listed.id.clone(), instance);
+        }
+        let gone = std::mem::replace(&mut self.instances, next);
+        for instance in gone.values() {
+            changed = true;
+            self.note(&instance.listed, "gone");
+        }
+        if changed {
+            self.index();
+        }
+        changed
+    }
+
+    fn note(&self, listed: &ListedInstance, state: &str) {
+        self.record(listed, state, "list");
+    }
+
+    fn record(&self, listed: &ListedInstance, state: &str, source: &str) {
+        self.log.record(Event::Backend {
+            backend: listed.id.clone(),
+            service: listed.service.clone(),
+            state: state.to_owned(),
+            source: source.to_owned(),
+        });
+    }
+
+    fn index(&mut self) {
+        self.by_service.clear();
+        for (id, instance) in &self.instances {
+            let service = instance.listed.service.clone();
+            self.by_service.entry(service).or_default().push(id.clone());
+        }
+    }
+
+    /// Back ends of a service.
+    pub fn of_service<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Instance> {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.instances.get(id))
+    }
+
+    /// A back end.
+    pub fn get(&self, id: &str) -> Option<&Instance> {
+        self.instances.get(id)
+    }
+
+    /// The back end at an address.
+    pub fn at_address(&self, address: &str) -> Option<&Instance> {
+        let mut all = self.instances.values();
+        all.find(|instance| instance.listed.address == address)
+    }
+
+    /// Names of all services that have back ends.
+    pub fn services(&self) -> impl Iterator<Item = &String> {
+        self.by_service.keys()
+    }
+
+    /// A request of `tokens` tokens leaves for a back end.
+    pub fn sent(&mut self, id: &str, tokens: u64) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.in_flight += 1;
+            instance.tokens_in_flight += tokens;
+            instance.sent_since_report += 1;
+        }
+    }
+
+    /// A request that was sent has ended.
+    pub fn ended(&mut self, id: &str, tokens: u64) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.in_flight = instance.in_flight.saturating_sub(1);
+            instance.tokens_in_flight = instance.tokens_in_flight.saturating_sub(tokens);
+        }
+    }
+
+    /// A back end told its load.
+    pub fn reported(&mut self, id: &str, load: ReportedLoad, now: Millis) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.load = Some((load, now));
+            instance.sent_since_report = 0;
+        }
+    }
+
+    /// A back end answered a request.
+    pub fn answered(&mut self, id: &str) {
+        let Some(instance) = self.instances.get_mut(id) else {
+            return;
+        };
+        instance.suspect_until = 0;
+        if std::mem::take(&mut instance.failures) > 0 {
+            let listed = instance.listed.clone();
+            self.record(&listed, "trusted", "answer");
+        }
+    }
+
+    /// A back end could not be reached or broke off.
+    pub fn failed(&mut self, id: &str, now: Millis, why: &str) {
+        let Some(instance) = self.instances.get_mut(id) else {
+            return;
+        };
+        instance.failures += 1;
+        let doublings = (instance.failures - 1).min(MAX_DOUBLINGS);
+        instance.suspect_until = now + (SUSPECT_FOR << doublings);
+        let listed = instance.listed.clone();
+        self.record(&listed, "suspect", why);
+    }
+
+    /// A back end said that it is full.
+    pub fn full(&mut self, id: &str, now: Millis) {
+        let Some(instance) = self.instances.get_mut(id) else {
+            return;
+        };
+        instance.full_until = now + FULL_FOR;
+        let listed = instance.listed.clone();
+        self.record(&listed, "full", "answer");
+    }
+
+    /// A back end is not the one that the list names any more.
+    pub fn misplaced(&mut self, id: &str) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.listed.draining = true;
+            let listed = instance.listed.clone();
+            self.record(&listed, "gone", "answer");
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,22 @@
+//! The path of a pass-through request, as decisions without sockets, clocks or
+//! threads: which route, which back end, which batch, when to repeat and when to
+//! refuse. Time is a count of milliseconds that the caller passes in.
+//!
+//! - [`ports`]: what the outside protocols are translated to and from
+//! - [`routes`]: which route a request takes, and whose it is
+//! - [`instances`]: the back ends and what is believed of them
+//! - [`selection`]: which back end gets a request
+//! - [`retry_budget`]: how often requests may be sent again
+//! - [`batcher`]: which pieces share a call
+//! - [`dispatcher`]: one request from its arrival to its answer
+
+pub mod batcher;
+pub mod dispatcher;
+pub mod instances;
+pub mod ports;
+pub mod retry_budget;
+pub mod routes;
+pub mod selection;
+
+/// Milliseconds of a local monotonic clock; comparable in one process only.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/serving/src/ports.rs
@@ -0,0 +1,220 @@
+//! The typed ports between the product and the outside protocols. An adapter
+//! implements them; nothing else knows the protocols' names.
+
+use http::{HeaderMap, Method, Uri};
+use silversail_model::TrafficConfiguration;
+use silversail_peer::{Piece, PieceFailure, ResultHandle};
+use std::time::Duration;
+
+/// A part of a prompt that may be shared between requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PrefixPart {
+    /// Identifies the content.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// What routing needs to know of a caller's request.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CallAttributes {
+    /// The caller's identifier of this attempt.
+    pub id: String,
+    /// Host that the request names.
+    pub host: String,
+    /// Path, without the query.
+    pub path: String,
+    /// How long the caller waits, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// The key that the caller sent.
+    pub key: Option<String>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens of the answer.
+    pub answer_tokens: u32,
+    /// Parts of the prompt in order.
+    pub prefix: Vec<PrefixPart>,
+    /// Pieces of each phase; 0 leaves a phase out.
+    pub pieces: Vec<u32>,
+    /// From what the pieces of phases without inputs are made.
+    pub piece_key: String,
+}
+
+/// Why a request can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RequestError {
+    /// The identifier of the attempt is absent or empty.
+    #[error("the request has no identifier")]
+    MissingId,
+    /// A header that routing needs can't be read.
+    #[error("header {0} can't be read")]
+    MalformedHeader(String),
+}
+
+/// What goes with a request to an engine.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SendAttributes {
+    /// The engine that is meant; another at its address must not run it.
+    pub instance: String,
+    /// Milliseconds that remain.
+    pub remaining_ms: u64,
+    /// The tenant whose key the caller sent.
+    pub tenant: Option<String>,
+    /// Rank; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// Results of the phases before.
+    pub inputs: Vec<ResultHandle>,
+}
+
+/// Load that a back end tells of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that it can run at once.
+    pub slots: u32,
+}
+
+/// What the head of an engine's answer says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// Whether it names the request that was sent.
+    pub belongs: bool,
+    /// Whether the engine says that it did not run the request.
+    pub not_run: bool,
+    /// Whether it bears the engine's signature.
+    pub is_signed: bool,
+    /// Load, where told.
+    pub load: Option<ReportedLoad>,
+}
+
+/// Translates callers' requests and engines' answers.
+pub trait RequestProtocol: Send + Sync {
+    /// Reads what routing needs.
+    fn read_request(&self, uri: &Uri, headers: &HeaderMap) -> Result<CallAttributes, RequestError>;
+
+    /// The headers of the request to an engine, from those of the caller.
+    fn engine_headers(&self, caller: &HeaderMap, send: &SendAttributes) -> HeaderMap;
+
+    /// Reads an engine's answer to the request `id`.
+    fn read_answer(&self, status: u16, headers: &HeaderMap, id: &str) -> AnswerHead;
+
+    /// The headers of an answer of the product's own.
+    fn own_answer_headers(&self, id: &str, retry_after: Option<Duration>) -> HeaderMap;
+}
+
+/// A call to a back end, as method, path and body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendCall {
+    /// Method.
+    pub method: Method,
+    /// Path with query.
+    pub path: String,
+    /// Further headers.
+    pub headers: HeaderMap,
+    /// Body, in JSON; empty for none.
+    pub body: Vec<u8>,
+}
+
+/// What a batch call came to, for each piece.
+pub type PieceResults = Vec<Result<ResultHandle, PieceFailure>>;
+
+/// Translates calls to batch stages.
+pub trait BatchProtocol: Send + Sync {
+    /// The call that makes `pieces` at `instance`; `remaining_ms` belongs to
+    /// each piece.
+    fn run_call(&self, instance: &str, pieces: &[(Piece, u64)]) -> BackendCall;
+
+    /// Reads the answer to a call with `pieces` pieces; none when it is no
+    /// whole answer.
+    fn read_run(&self, body: &[u8], pieces: usize) -> Option<PieceResults>;
+
+    /// The call that frees results.
+    fn free_call(&self, handles: &[ResultHandle]) -> BackendCall;
+
+    /// Address of the back end that holds a result.
+    fn maker_address<'a>(&self, handle: &'a ResultHandle) -> &'a str;
+}
+
+/// A back end on the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedInstance {
+    /// Identity of this start of the back end.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// IP address and port.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+/// A page of the list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListPage {
+    /// Its entries.
+    pub instances: Vec<ListedInstance>,
+    /// Names the next page; none on the last.
+    pub next: Option<String>,
+}
+
+/// Translates the list of back ends.
+pub trait ListProtocol: Send + Sync {
+    /// Path that gives a page; none names the first.
+    fn list_call(&self, page: Option<&str>) -> BackendCall;
+
+    /// Reads a page; none when it is no whole page.
+    fn read_list(&self, body: &[u8]) -> Option<ListPage>;
+}
+
+/// Why a published configuration is refused.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct ConfigurationRejected(pub String);
+
+/// What a call to the control, readiness or entry-point surface asks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SurfaceCall {
+    /// Publish the body as the traffic configuration.
+    Publish,
+    /// Read the traffic configuration.
+    ReadTraffic,
+    /// Tell whether this process is ready.
+    Readiness,
+    /// Tell which addresses to use.
+    EntryPoints {
+        /// Zone of the caller.
+        zone: Option<String>,
+    },
+}
+
+/// Translates the operator's, the platform's and callers' questions.
+pub trait SurfaceProtocol: Send + Sync {
+    /// What a call asks; none when no such call exists.
+    fn classify(&self, method: &Method, uri: &Uri) -> Option<SurfaceCall>;
+
+    /// Reads a published configuration, validated.
+    fn read_traffic(&self, document: &[u8]) -> Result<TrafficConfiguration, ConfigurationRejected>;
+
+    /// The answer that names entry points, as a JSON body.
+    fn entry_points(&self, addresses: &[String], lifetime_ms: u64) -> Vec<u8>;
+}
+
+/// All ports of one platform.
+#[derive(Clone)]
+pub struct Protocols {
+    /// Requests and answers.
+    pub requests: std::sync::Arc<dyn RequestProtocol>,
+    /// Batch stages.
+    pub batches: std::sync::Arc<dyn BatchProtocol>,
+    /// The list of back ends.
+    pub list: std::sync::Arc<dyn ListProtocol>,
+    /// Control, readiness and entry points.
+    pub surface: std::sync::Arc<dyn SurfaceProtocol>,
+}
--- /dev/null
+++ b/crates/serving/src/selection.rs
@@ -0,0 +1,114 @@
+//! Which back end gets a request.
+//!
+//! Requests that share the beginning of their prompt go to the same engine while
+//! it is not much busier than the others: every node ranks the engines of a
+//! service by the same hash of that beginning, so no node needs to ask another.
+
+use crate::instances::{Instance, InstanceTable};
+use crate::ports::PrefixPart;
+use crate::Millis;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+
+/// An engine keeps its share of the prompts up to this utilization.
+const AFFINITY_UTILIZATION: f64 = 0.6;
+/// Above that it keeps them while it is busier than the least busy engine by no
+/// more than this.
+const AFFINITY_SLACK: f64 = 0.15;
+/// A back end in another zone counts as busier by this much of its slots.
+const OTHER_ZONE: f64 = 0.05;
+
+/// What a choice takes into account.
+#[derive(Clone, Debug)]
+pub struct SelectionRequest<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Zone to prefer.
+    pub zone: &'a str,
+    /// Hash of the shared beginning of the prompt.
+    pub affinity: Option<u64>,
+    /// Back ends that were tried before.
+    pub tried: &'a [String],
+}
+
+/// Hash of the shared beginning of a prompt: of all its parts but the last, which
+/// belongs to the request itself.
+pub fn affinity_key(prefix: &[PrefixPart]) -> Option<u64> {
+    let shared = match prefix {
+        [] => return None,
+        [only] => std::slice::from_ref(only),
+        [shared @ .., _] => shared,
+    };
+    let mut hasher = DefaultHasher::new();
+    for part in shared {
+        part.id.hash(&mut hasher);
+    }
+    Some(hasher.finish())
+}
+
+/// Chooses a back end; none where no one may be used now.
+pub fn select<'a>(
+    table: &'a InstanceTable,
+    request: &SelectionRequest<'_>,
+    now: Millis,
+) -> Option<&'a Instance> {
+    let usable: Vec<&Instance> = table
+        .of_service(request.service)
+        .filter(|one| one.is_usable(now) && !request.tried.contains(&one.listed.id))
+        .collect();
+    let usable = if usable.is_empty() {
+        last_resort(table, request, now)
+    } else {
+        usable
+    };
+    let least = usable
+        .iter()
+        .copied()
+        .min_by(|left, right| cost(left, request, now).total_cmp(&cost(right, request, now)))?;
+    let Some(affinity) = request.affinity else {
+        return Some(least);
+    };
+    let mut ranked = usable;
+    ranked.sort_by_key(|one| std::cmp::Reverse(rank(affinity, &one.listed.id)));
+    let floor = least.utilization(now);
+    let keeps = |one: &&Instance| {
+        let utilization = one.utilization(now);
+        utilization <= AFFINITY_UTILIZATION || utilization <= floor + AFFINITY_SLACK
+    };
+    ranked.iter().copied().find(keeps).or(Some(least))
+}
+
+/// Where every back end failed or was tried: any that is not leaving or full.
+fn last_resort<'a>(
+    table: &'a InstanceTable,
+    request: &SelectionRequest<'_>,
+    now: Millis,
+) -> Vec<&'a Instance> {
+    let staying: Vec<&Instance> = table
+        .of_service(request.service)
+        .filter(|one| !one.listed.draining)
+        .collect();
+    let is_untried =
+        |one: &&&Instance| one.is_suspect(now) && !request.tried.contains(&one.listed.id);
+    let untried: Vec<&Instance> = staying.iter().filter(is_untried).copied().collect();
+    if !untried.is_empty() {
+        return untried;
+    }
+    staying
+        .into_iter()
+        .filter(|one| one.is_usable(now))
+        .collect()
+}
+
+fn cost(instance: &Instance, request: &SelectionRequest<'_>, now: Millis) -> f64 {
+    let is_near = instance.listed.zone == request.zone;
+    let distance = if is_near { 0.0 } else { OTHER_ZONE };
+    instance.utilization(now) + distance
+}
+
+/// Rendezvous rank of a back end for a key.
+pub fn rank(key: u64, id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (key, id).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -12,6 +12,7 @@
 use silversail_daemon::outbox::Outbox;
 use silversail_daemon::session::SharedNodeState;
 use silversail_daemon::{NodeError, Settings};
+use silversail_decisions::DecisionLog;
 use silversail_peer::GroupId;
 use stakker::Stakker;
 use std::cell::RefCell;
@@ -97,12 +98,16 @@
             Box::new(move |envelope| loopback.borrow_mut().send(node.clone(), envelope)),
             metrics.clone(),
         );
+        let clock = Clock::new(start);
+        let directory = settings.directory(now + 1, clock.millis(start));
         let context = ActorContext {
             settings: settings.clone(),
             outbox: Rc::new(RefCell::new(outbox)),
             state: SharedNodeState::default(),
             metrics,
-            clock: Clock::new(start),
+            log: DecisionLog::off(),
+            clock,
+            directory: Rc::new(RefCell::new(directory)),
         };
         let mut stakker = Stakker::new(start);
         let mut platform = SimulatedPlatform { parts, seed };
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -267,7 +267,7 @@
         if let Some(node) = &mut place.node {
             // Time moves on before the message is handled, as in the daemon.
             node.stakker.run(instant, false);
-            node.actors.deliver(envelope);
+            node.actors.deliver(envelope, instant);
             place.wake_at = self.now;
         }
     }
@@ -286,7 +286,7 @@
         if was_frozen {
             node.stakker.run(instant, false);
             for envelope in std::mem::take(&mut place.frozen_messages) {
-                node.actors.deliver(envelope);
+                node.actors.deliver(envelope, instant);
             }
             place.wake_at = now;
         }
