Leave a relay that is cut off from the leader; a stop waits for the gateway's requests

Change: a reply older than 900 ms sends the node to the next relay, at once for the first; the gateway's open requests and orders have a gauge that the stop waits for. Freed results leave with the event that frees them, not with the next tick.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -161,6 +161,10 @@
             GatewayEvent::Surface { request, reply } => self.surface(cx, request, reply, now),
         }
         self.start_batches(now);
+        self.free_results();
+        // Orders of other nodes count too: a stop must not leave them behind.
+        let open = self.dispatcher.open_requests() + self.batcher.sizes().0;
+        self.setup.metrics.gateway_requests.set(open as i64);
     }
 
     fn list_state(&mut self, works: bool, detail: &str) {
@@ -309,6 +313,7 @@
             WorkMessage::Release { handles, .. } => self.batcher.release(&handles),
         }
         self.start_batches(now);
+        self.free_results();
     }
 
     fn work_done(
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -28,6 +28,8 @@
     pub tokens: IntCounterVec,
     /// Requests under way.
     pub open_requests: IntGauge,
+    /// Pass-through requests under way.
+    pub gateway_requests: IntGauge,
     /// Stages waiting for a back end.
     pub queued_stages: IntGauge,
     /// Configuration revision in force.
@@ -116,6 +118,10 @@
             stage_cost,
             tokens: counter("silversail_tokens_total", "Tokens generated", &["model"]),
             open_requests: gauge("silversail_open_requests", "Requests under way"),
+            gateway_requests: gauge(
+                "silversail_gateway_open_requests",
+                "Pass-through requests under way",
+            ),
             queued_stages: gauge("silversail_queued_stages", "Stages waiting for a back end"),
             revision: gauge("silversail_configuration_revision", "Revision in force"),
             peer_sent: counter(
--- a/crates/daemon/src/session/session_actor.rs
+++ b/crates/daemon/src/session/session_actor.rs
@@ -39,6 +39,9 @@
     pub clock: Clock,
 }
 
+/// Age of a relay's own state above which another relay is tried, in
+/// milliseconds: several heartbeats of the leader are missing.
+const STALE_RELAY: Millis = 900;
 /// Heartbeats without an answer after which another relay is tried.
 const SILENT_HEARTBEATS: u32 = 2;
 
@@ -48,6 +51,9 @@
     /// The present relay; none before the first is known.
     relay: Option<NodeName>,
     unanswered: u32,
+    /// Replies of stale relays since the last good one; after the first, the
+    /// next relay is asked with the next heartbeat only.
+    stale_replies: u32,
     started_at: Millis,
 }
 
@@ -60,6 +66,7 @@
             setup,
             relay: None,
             unanswered: 0,
+            stale_replies: 0,
             started_at,
         })
     }
@@ -126,16 +133,23 @@
     }
 
     /// A relay's answer.
-    pub fn reply(&mut self, _: CX![], reply: SessionReply) {
+    pub fn reply(&mut self, cx: CX![], reply: SessionReply) {
         if reply.incarnation != self.setup.outbox.borrow().incarnation() {
             // To a former process of this node, whose clock says nothing here.
             return;
         }
-        let Some(age) = reply.age else {
-            // A relay that is cut off itself is of no use.
+        let Some(age) = reply.age.filter(|age| *age <= STALE_RELAY) else {
+            // A relay that is cut off from the leader itself is of no use.
+            log::info!(event = "relay_stale", age_ms = reply.age.unwrap_or_default(); "another relay is tried");
+            let former = self.relay.clone();
             self.try_next_relay();
+            let is_first_stale = std::mem::replace(&mut self.stale_replies, 1) == 0;
+            if is_first_stale && former != self.relay {
+                self.send_heartbeat(cx);
+            }
             return;
         };
+        self.stale_replies = 0;
         self.unanswered = 0;
         // The relay's state includes all that was committed before this time.
         let as_of = reply.echo.saturating_sub(age);
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -94,9 +94,7 @@
                 self.setup.state.borrow_mut().refusing = true;
                 Some(Step::Draining(self.drained_by(now)))
             }
-            Step::Draining(until)
-                if now >= until || self.setup.metrics.open_requests.get() == 0 =>
-            {
+            Step::Draining(until) if now >= until || self.has_drained() => {
                 self.setup.server.stop_accepting();
                 if let Some(gateway) = &self.setup.gateway {
                     gateway.close();
@@ -129,6 +127,11 @@
         in_view
     }
 
+    fn has_drained(&self) -> bool {
+        let metrics = &self.setup.metrics;
+        metrics.open_requests.get() == 0 && metrics.gateway_requests.get() == 0
+    }
+
     /// Until when callers that hold an answer are served.
     fn answers_end(&self, now: Instant) -> Instant {
         match self.setup.stop_grace {
