Start phases when due, and admit whole chains by what batching nodes told

Change: a phase off the longest chain starts when the rest of the chain is no longer than its own; results nobody wants are released to their owner; 85% of a maker's room is filled; Done tells what a phase takes now by rank, and a request whose chain can't keep its objective is refused at entry with the time to come back; ranks weigh 1 s in the batch order.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -266,9 +266,11 @@
 
     fn take_order(&mut self, key: OrderKey, phase: PhaseWork, now: Millis) {
         let table = &self.dispatcher.instances;
+        let service = phase.service.clone();
         if let Err(failure) = self.batcher.submit(key.clone(), phase, table, now) {
             let refused = FinishedOrder {
                 key,
+                service,
                 result: Err(failure),
             };
             self.orders_finished(vec![refused], now);
@@ -289,10 +291,17 @@
 
     fn release(&mut self, service: String, handles: Vec<ResultHandle>) {
         let owner = self.owner_of(&service);
-        if owner == self.node {
+        self.release_at(&owner, handles);
+    }
+
+    fn release_at(&mut self, owner: &NodeName, handles: Vec<ResultHandle>) {
+        if handles.is_empty() {
+            return;
+        }
+        if *owner == self.node {
             self.batcher.release(&handles);
         } else {
-            self.send_work(&owner, WorkMessage::Release { service, handles });
+            self.send_work(owner, WorkMessage::Release { handles });
         }
     }
 
@@ -308,9 +317,16 @@
             WorkMessage::Submit { work, phase } => {
                 self.take_order(OrderKey { node: from, work }, phase, now);
             }
-            WorkMessage::Done { work, result } => self.work_done(work, result, now),
+            WorkMessage::Done {
+                work,
+                result,
+                waits,
+            } => {
+                self.dispatcher.set_waits(waits, now);
+                self.work_done(&from, work, result, now);
+            }
             WorkMessage::Cancel { work } => self.batcher.cancel(&OrderKey { node: from, work }),
-            WorkMessage::Release { handles, .. } => self.batcher.release(&handles),
+            WorkMessage::Release { handles } => self.batcher.release(&handles),
         }
         self.start_batches(now);
         self.free_results();
@@ -318,11 +334,15 @@
 
     fn work_done(
         &mut self,
+        owner: &NodeName,
         work: WorkId,
         result: Result<Vec<ResultHandle>, PieceFailure>,
         now: Millis,
     ) {
-        if self.works.ended(work).is_none() {
+        let is_wanted = self.works.ended(work).is_some() && self.dispatcher.knows_work(work);
+        if !is_wanted {
+            // Cancelled, or given to another node meanwhile.
+            self.release_at(owner, result.unwrap_or_default());
             return;
         }
         let actions = self.dispatcher.phase_done(work, result, now);
@@ -330,13 +350,27 @@
     }
 
     fn orders_finished(&mut self, finished: Vec<FinishedOrder>, now: Millis) {
-        for FinishedOrder { key, result } in finished {
+        for FinishedOrder {
+            key,
+            service,
+            result,
+        } in finished
+        {
             let work = key.work;
+            let waits = self
+                .batcher
+                .waits(&service, &self.dispatcher.instances, now);
             if key.node == self.node {
-                self.work_done(work, result, now);
-            } else {
-                self.send_work(&key.node, WorkMessage::Done { work, result });
+                self.dispatcher.set_waits(waits, now);
+                self.work_done(&key.node, work, result, now);
+                continue;
             }
+            let done = WorkMessage::Done {
+                work,
+                result,
+                waits,
+            };
+            self.send_work(&key.node, done);
         }
     }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,4 +13,7 @@
     SessionHeartbeat, SessionMessage, SessionReply,
 };
 pub use transport::{decode, encode, NngTransport, SendResult, Transport};
-pub use work::{PhaseWork, Piece, PieceFailure, PieceSource, ResultHandle, WorkId, WorkMessage};
+pub use work::{
+    PhaseWork, Piece, PieceFailure, PieceSource, ResultHandle, ServiceWaits, WorkId, WorkMessage,
+    RANKS,
+};
--- a/crates/peer/src/work.rs
+++ b/crates/peer/src/work.rs
@@ -65,6 +65,18 @@
     pub remaining_ms: u64,
 }
 
+/// Ranks for which waits are told; less urgent ones wait as the last.
+pub const RANKS: usize = 4;
+
+/// How long a phase of a service takes now, by the node that batches it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceWaits {
+    /// The service.
+    pub service: String,
+    /// Expected milliseconds from an order to its end, by rank.
+    pub by_rank: [u32; RANKS],
+}
+
 /// Messages of work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorkMessage {
@@ -81,6 +93,8 @@
         work: WorkId,
         /// The results.
         result: Result<Vec<ResultHandle>, PieceFailure>,
+        /// How long the service takes now.
+        waits: ServiceWaits,
     },
     /// The sender wants the work no more.
     Cancel {
@@ -89,8 +103,6 @@
     },
     /// These results are not needed any more.
     Release {
-        /// The service that made them.
-        service: String,
         /// The results.
         handles: Vec<ResultHandle>,
     },
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -16,15 +16,24 @@
 use silversail_decisions::{DecisionLog, Event};
 use silversail_model::traffic::BatchSpec;
 use silversail_model::NodeName;
-use silversail_peer::{PhaseWork, Piece, PieceFailure, ResultHandle, WorkId};
-use std::collections::BTreeMap;
+use silversail_peer::{PhaseWork, Piece, PieceFailure, ResultHandle, ServiceWaits, WorkId};
+use std::collections::{BTreeMap, VecDeque};
 
 /// How long a back end that refused a batch gets none, in milliseconds.
 const REFUSED_FOR: Millis = 80;
 /// Most calls that a piece takes part in.
 const MAX_CALLS_OF_PIECE: u32 = 3;
 /// A lower rank lets a phase wait longer by this much, in milliseconds.
-const RANK_STEP: Millis = 250;
+const RANK_STEP: Millis = 1_000;
+/// Share of the makers' room that is filled: sizes of results are approximate,
+/// and a result that is freed is gone a little later.
+const ROOM_SHARE: f64 = 0.85;
+/// Pieces of a phase for which waits are told.
+const TYPICAL_PIECES: usize = 4;
+/// Time over which the pieces made are counted, in milliseconds.
+const RATE_WINDOW: Millis = 2_000;
+/// Least share of the nominal rate that is expected of a service.
+const LEAST_RATE: f64 = 0.25;
 
 /// Identifies an order of work by the node that gave it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -67,6 +76,8 @@
 pub struct FinishedOrder {
     /// The order.
     pub key: OrderKey,
+    /// Its service.
+    pub service: String,
     /// The results in the order of the pieces, or why there are none.
     pub result: Result<Vec<ResultHandle>, PieceFailure>,
 }
@@ -86,6 +97,7 @@
     calls: BTreeMap<CallId, CallState>,
     refused_until: BTreeMap<String, Millis>,
     room: RoomBook,
+    made: BTreeMap<String, VecDeque<(Millis, usize)>>,
     next_call: CallId,
     log: DecisionLog,
 }
@@ -99,6 +111,7 @@
             calls: BTreeMap::new(),
             refused_until: BTreeMap::new(),
             room: RoomBook::default(),
+            made: BTreeMap::new(),
             next_call: 1,
             log,
         }
@@ -117,21 +130,27 @@
         table: &InstanceTable,
         now: Millis,
     ) -> Result<(), PieceFailure> {
-        let expected = self.expected_ms(&work.service, work.pieces.len(), table)?;
+        let rank = work.priority;
+        let expected = self.expected_ms(&work.service, work.pieces.len(), rank, table, now)?;
         if expected > work.remaining_ms {
             return Err(PieceFailure::Overloaded);
         }
-        self.orders.insert(key, Order::new(work, now));
+        // An order that is given again is still the same order.
+        self.orders
+            .entry(key)
+            .or_insert_with(|| Order::new(work, now));
         Ok(())
     }
 
-    /// How long `pieces` more pieces of a service can be expected to take, in
-    /// milliseconds.
+    /// How long `pieces` more pieces of a service can be expected to take for a
+    /// request of `rank`, in milliseconds: what is at least as urgent goes first.
     pub fn expected_ms(
         &self,
         service: &str,
         pieces: usize,
+        rank: u8,
         table: &InstanceTable,
+        now: Millis,
     ) -> Result<u64, PieceFailure> {
         let spec = self.specs.get(service).ok_or(PieceFailure::NoBackend)?;
         let makers = table
@@ -141,14 +160,52 @@
         if makers == 0 {
             return Err(PieceFailure::NoBackend);
         }
-        let waiting: usize = self.waiting_of(service).map(Order::waiting_pieces).sum();
+        let before = self
+            .waiting_of(service)
+            .filter(|order| order.work.priority <= rank);
+        let waiting: usize = before.map(Order::waiting_pieces).sum();
         let full_call = spec.call_ms + spec.piece_ms * spec.pieces as f64;
-        let rounds = waiting as f64 / (makers * spec.pieces.max(1)) as f64;
         let own_call = spec.call_ms + spec.piece_ms * pieces as f64;
         let busy = self.calls.values().filter(|one| one.service == service);
-        let is_busy = busy.count() >= makers;
-        let until_free = if is_busy { full_call / 2.0 } else { 0.0 };
-        Ok((until_free + rounds.floor() * full_call + own_call) as u64)
+        let until_free = match busy.count() >= makers {
+            true => full_call / (makers + 1) as f64,
+            false => 0.0,
+        };
+        let nominal = (makers * spec.pieces) as f64 / full_call;
+        let is_backed_up = waiting > makers * spec.pieces / 2;
+        let rate = match is_backed_up {
+            true => self.rate(service, now).clamp(nominal * LEAST_RATE, nominal),
+            false => nominal,
+        };
+        Ok((until_free + waiting as f64 / rate + own_call) as u64)
+    }
+
+    /// Pieces of a service made in a millisecond, lately.
+    fn rate(&self, service: &str, now: Millis) -> f64 {
+        let made = self.made.get(service).into_iter().flatten();
+        let recent = made.filter(|(at, _)| at + RATE_WINDOW >= now);
+        let pieces: usize = recent.map(|(_, pieces)| pieces).sum();
+        pieces as f64 / RATE_WINDOW as f64
+    }
+
+    fn note_made(&mut self, service: &str, pieces: usize, now: Millis) {
+        let made = self.made.entry(service.to_owned()).or_default();
+        made.push_back((now, pieces));
+        while made.front().is_some_and(|(at, _)| at + RATE_WINDOW < now) {
+            made.pop_front();
+        }
+    }
+
+    /// How long a phase of a service takes now, by rank.
+    pub fn waits(&self, service: &str, table: &InstanceTable, now: Millis) -> ServiceWaits {
+        let wait = |rank: usize| {
+            let expected = self.expected_ms(service, TYPICAL_PIECES, rank as u8, table, now);
+            expected.map_or(u32::MAX, |ms| ms.min(u64::from(u32::MAX)) as u32)
+        };
+        ServiceWaits {
+            service: service.to_owned(),
+            by_rank: std::array::from_fn(wait),
+        }
     }
 
     fn waiting_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Order> {
@@ -256,7 +313,8 @@
 
     /// Pieces of `orders` that fit into one call of `maker`.
     fn fill(&self, maker: &str, spec: &BatchSpec, orders: &[OrderKey]) -> Vec<(OrderKey, usize)> {
-        let mut room = spec.room_bytes.saturating_sub(self.room.taken(maker));
+        let usable = (spec.room_bytes as f64 * ROOM_SHARE) as u64;
+        let mut room = usable.saturating_sub(self.room.taken(maker));
         let mut taken = Vec::new();
         for key in orders {
             for (index, piece) in self.orders[key].waiting() {
@@ -360,6 +418,8 @@
             .get(&call.service)
             .map_or(0, |spec| spec.result_lifetime_ms);
         let mut finished = Vec::new();
+        let made = results.iter().filter(|result| result.is_ok()).count();
+        self.note_made(&call.service, made, now);
         for ((key, index), result) in call.members.iter().zip(results) {
             if let Ok(handle) = &result {
                 let bytes = self.bytes_of(key, *index);
@@ -428,6 +488,7 @@
         self.room.release(&order.made());
         Some(FinishedOrder {
             key: key.clone(),
+            service: order.work.service,
             result: Err(failure),
         })
     }
@@ -442,6 +503,7 @@
                 finished.push(FinishedOrder {
                     key: key.clone(),
                     result: Ok(order.made()),
+                    service: order.work.service,
                 });
             }
         }
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -4,6 +4,7 @@
 //! The dispatcher holds the state of all requests of a node. Its inputs return
 //! [`Action`]s, which the caller carries out.
 
+mod admission;
 mod phases;
 mod request;
 
@@ -13,10 +14,11 @@
 use crate::routes::{RouteError, RouteTable, Routed};
 use crate::selection::{affinity_key, select, SelectionRequest};
 use crate::Millis;
+use admission::Admission;
 use request::{ActiveRequest, PresentSend};
 use silversail_decisions::{DecisionLog, Event};
 use silversail_model::ResultCode;
-use silversail_peer::{PhaseWork, PieceFailure, ResultHandle, WorkId};
+use silversail_peer::{PhaseWork, PieceFailure, ResultHandle, ServiceWaits, WorkId};
 use std::collections::BTreeMap;
 
 /// When a caller is told to come back after a refusal under load, in
@@ -156,6 +158,7 @@
     nodes: usize,
     requests: BTreeMap<RequestNumber, ActiveRequest>,
     works: BTreeMap<WorkId, (RequestNumber, usize)>,
+    admission: Admission,
     next_work: WorkId,
     log: DecisionLog,
 }
@@ -173,6 +176,7 @@
             nodes: 1,
             requests: BTreeMap::new(),
             works: BTreeMap::new(),
+            admission: Admission::default(),
             next_work: first_work,
             log,
         }
@@ -188,6 +192,16 @@
         self.nodes = nodes.max(1);
     }
 
+    /// Takes how long a service takes now.
+    pub fn set_waits(&mut self, waits: ServiceWaits, now: Millis) {
+        self.admission.set_waits(waits, now);
+    }
+
+    /// Whether an order of work belongs to a request under way.
+    pub fn knows_work(&self, work: WorkId) -> bool {
+        self.works.contains_key(&work)
+    }
+
     /// Requests under way.
     pub fn open_requests(&self) -> usize {
         self.requests.len()
@@ -233,7 +247,11 @@
             phases: routed.route.phases.len(),
         });
         let request = ActiveRequest::new(call, routed, now, now + wait);
+        let refused = self.admission.refuses(&request, now);
         self.requests.insert(number, request);
+        if let Some(come_back_in) = refused {
+            return self.end(number, ResultCode::PhaseOverloaded, Some(come_back_in), now);
+        }
         self.advance(number, now)
     }
 
@@ -651,12 +669,22 @@
 
     /// Ends a request with an answer of this node's own.
     fn give_up(&mut self, number: RequestNumber, code: ResultCode, now: Millis) -> Vec<Action> {
+        self.end(number, code, retry_after(code), now)
+    }
+
+    fn end(
+        &mut self,
+        number: RequestNumber,
+        code: ResultCode,
+        retry_after_ms: Option<u64>,
+        now: Millis,
+    ) -> Vec<Action> {
         let Some(mut request) = self.requests.remove(&number) else {
             return Vec::new();
         };
         let refusal = Refusal {
             code,
-            retry_after_ms: retry_after(code),
+            retry_after_ms,
         };
         let after_ms = now.saturating_sub(request.arrived_at);
         self.log_refusal(&request.call.id, &refusal, after_ms, request.sends);
--- a/crates/serving/src/dispatcher/phases.rs
+++ b/crates/serving/src/dispatcher/phases.rs
@@ -64,10 +64,19 @@
         (0..self.phases.len()).all(|phase| self.is_over(phase))
     }
 
-    /// Phases that wait for nothing.
+    /// Phases that wait for nothing and are due. A result takes room at its maker
+    /// until it is used, so a phase off the longest chain starts only when the
+    /// rest of that chain is no longer than its own.
     pub(super) fn startable(&self) -> Vec<usize> {
-        (0..self.phases.len())
+        let unfinished = (0..self.phases.len()).filter(|phase| !self.is_over(*phase));
+        let longest = unfinished
+            .clone()
+            .map(|phase| self.phases_after(phase))
+            .max()
+            .unwrap_or_default();
+        unfinished
             .filter(|phase| self.phases[*phase].state == PhaseState::Waiting)
+            .filter(|phase| self.phases_after(*phase) >= longest)
             .filter(|phase| {
                 let mut before = self.phases[*phase].after.iter();
                 before.all(|before| self.is_over(*before))
@@ -75,6 +84,25 @@
             .collect()
     }
 
+    /// The longest chain of phases from `phase` on, as the sum of what `time_of`
+    /// gives for each.
+    pub(super) fn chain_ms(&self, phase: usize, time_of: &impl Fn(usize) -> u64) -> u64 {
+        let later = (phase + 1..self.phases.len())
+            .filter(|later| self.phases[*later].after.contains(&phase))
+            .filter(|later| self.phases[*later].state != PhaseState::LeftOut)
+            .map(|later| self.chain_ms(later, time_of))
+            .max()
+            .unwrap_or_default();
+        time_of(phase) + later
+    }
+
+    /// Phases that the request has.
+    pub(super) fn present(&self) -> Vec<usize> {
+        (0..self.phases.len())
+            .filter(|phase| self.phases[*phase].state != PhaseState::LeftOut)
+            .collect()
+    }
+
     pub(super) fn submitted(&mut self, phase: usize, work: WorkId, now: Millis) {
         self.phases[phase].state = PhaseState::Submitted(work);
         self.phases[phase].submitted_at = now;
