Free a phase's inputs once its back ends have read them

Cause: room at the makers limits batches (billing-ledger 20 of 42 pieces with 270 waiting), and a result held room until the phase after it had ended; a back end reads inputs first in its turn. Change: 100 ms after all pieces of an order are in calls its owner tells the requester, which frees the inputs that nothing else needs.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -115,11 +115,27 @@
         self.carry_out(expired, now);
         let late = self.batcher.expire(now);
         self.orders_finished(late, now);
+        self.tell_inputs_read(now);
         self.resubmit(now);
         self.start_batches(now);
         self.free_results();
     }
 
+    fn tell_inputs_read(&mut self, now: Millis) {
+        for OrderKey { node, work } in self.batcher.inputs_read(now) {
+            if node == self.node {
+                self.inputs_read(work, now);
+            } else {
+                self.send_work(&node, WorkMessage::InputsRead { work });
+            }
+        }
+    }
+
+    fn inputs_read(&mut self, work: WorkId, now: Millis) {
+        let actions = self.dispatcher.inputs_read(work);
+        self.carry_out(actions, now);
+    }
+
     /// Something that a task of the gateway tells.
     pub fn event(&mut self, cx: CX![], event: GatewayEvent) {
         let now = self.now(cx);
@@ -325,6 +341,7 @@
                 self.dispatcher.set_waits(waits, now);
                 self.work_done(&from, work, result, now);
             }
+            WorkMessage::InputsRead { work } => self.inputs_read(work, now),
             WorkMessage::Cancel { work } => self.batcher.cancel(&OrderKey { node: from, work }),
             WorkMessage::Release { handles } => self.batcher.release(&handles),
         }
--- a/crates/peer/src/work.rs
+++ b/crates/peer/src/work.rs
@@ -96,6 +96,11 @@
         /// How long the service takes now.
         waits: ServiceWaits,
     },
+    /// The back ends have read what the pieces are made from.
+    InputsRead {
+        /// The order.
+        work: WorkId,
+    },
     /// The sender wants the work no more.
     Cancel {
         /// The order.
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -28,6 +28,9 @@
 /// Share of the makers' room that is filled: sizes of results are approximate,
 /// and a result that is freed is gone a little later.
 const ROOM_SHARE: f64 = 0.85;
+/// Time after which a call that did not wait has read its inputs, in
+/// milliseconds.
+const INPUTS_READ_AFTER: Millis = 100;
 /// Pieces of a phase for which waits are told.
 const TYPICAL_PIECES: usize = 4;
 /// Time over which the pieces made are counted, in milliseconds.
@@ -346,6 +349,9 @@
                 continue;
             };
             order.states[*index] = PieceState::InCall(call);
+            if order.waiting_pieces() == 0 {
+                order.all_called_at = Some(now);
+            }
             let piece = order.work.pieces[*index].clone();
             room += piece.result_bytes;
             pieces.push((piece, order.deadline.saturating_sub(now)));
@@ -521,6 +527,22 @@
             .collect()
     }
 
+    /// Orders whose back ends have read all inputs by now: their calls began at
+    /// once, as no other waited there, and inputs are read first. The inputs can
+    /// be freed; each order is told once.
+    pub fn inputs_read(&mut self, now: Millis) -> Vec<OrderKey> {
+        let is_read = |order: &Order| {
+            let called_at = order.all_called_at;
+            !order.told_inputs_read && called_at.is_some_and(|at| at + INPUTS_READ_AFTER <= now)
+        };
+        let read = self.orders.iter_mut().filter(|(_, order)| is_read(order));
+        read.map(|(key, order)| {
+            order.told_inputs_read = true;
+            key.clone()
+        })
+        .collect()
+    }
+
     /// Orders that wait or are at work, and calls under way.
     pub fn sizes(&self) -> (usize, usize) {
         (self.orders.len(), self.calls.len())
--- a/crates/serving/src/batcher/order.rs
+++ b/crates/serving/src/batcher/order.rs
@@ -24,6 +24,10 @@
     /// When the request ends.
     pub(super) deadline: Millis,
     calls: Vec<u32>,
+    /// When its last waiting piece went into a call; none while pieces wait.
+    pub(super) all_called_at: Option<Millis>,
+    /// Whether it was told that its inputs are read.
+    pub(super) told_inputs_read: bool,
 }
 
 impl Order {
@@ -33,6 +37,8 @@
             calls: vec![0; work.pieces.len()],
             wanted_at: now + work.wanted_in_ms,
             deadline: now + work.remaining_ms,
+            all_called_at: None,
+            told_inputs_read: false,
             work,
         }
     }
@@ -74,6 +80,7 @@
         most_calls: u32,
     ) -> Option<PieceFailure> {
         self.states[index] = PieceState::Waiting;
+        self.all_called_at = None;
         if counts {
             self.calls[index] += 1;
         }
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -352,6 +352,15 @@
         }
     }
 
+    /// The back ends of a phase have read its inputs.
+    pub fn inputs_read(&mut self, work: WorkId) -> Vec<Action> {
+        let Some((number, phase)) = self.works.get(&work) else {
+            return Vec::new();
+        };
+        let request = self.requests.get_mut(number);
+        request.map_or_else(Vec::new, |request| request.inputs_read(*phase))
+    }
+
     /// A result was lost: the phases are done anew, if there is time.
     fn restart(&mut self, number: RequestNumber, now: Millis) -> Vec<Action> {
         let Some(request) = self.requests.get_mut(&number) else {
--- a/crates/serving/src/dispatcher/phases.rs
+++ b/crates/serving/src/dispatcher/phases.rs
@@ -169,6 +169,25 @@
         self.take(used_up)
     }
 
+    /// Takes the results that only `phase` needed, once it has read them.
+    pub(super) fn take_inputs(&mut self, phase: usize) -> Vec<(usize, Vec<ResultHandle>)> {
+        let is_over = |one: &Phase| matches!(one.state, PhaseState::Made(_));
+        let inputs: Vec<usize> = self.phases[phase]
+            .after
+            .iter()
+            .copied()
+            .filter(|before| {
+                let mut others = self.phases.iter().enumerate().filter(|(number, one)| {
+                    *number != phase
+                        && one.after.contains(before)
+                        && one.state != PhaseState::LeftOut
+                });
+                others.all(|(_, one)| is_over(one))
+            })
+            .collect();
+        self.take(inputs)
+    }
+
     /// Takes all results.
     pub(super) fn take_results(&mut self) -> Vec<(usize, Vec<ResultHandle>)> {
         self.take((0..self.phases.len()).collect())
--- a/crates/serving/src/dispatcher/request.rs
+++ b/crates/serving/src/dispatcher/request.rs
@@ -100,6 +100,12 @@
         self.releases(used_up)
     }
 
+    /// A phase's back ends have read their inputs, which are freed.
+    pub(super) fn inputs_read(&mut self, phase: usize) -> Vec<Action> {
+        let inputs = self.phases.take_inputs(phase);
+        self.releases(inputs)
+    }
+
     /// Drops orders that are under way and frees all results.
     pub(super) fn drop_phases(&mut self) -> Vec<Action> {
         let mut actions: Vec<Action> = self
