--- a/crates/serving/src/dispatcher/admission.rs
+++ b/crates/serving/src/dispatcher/admission.rs
@@ -11,6 +11,9 @@
 /// What comes between the last phase and the first part of an answer, in
 /// milliseconds.
 const TIME_TO_FIRST_PART: u64 = 150;
+/// Share of the objective within which the chain must be expected to end: waits
+/// are told late, and bursts come between.
+const ADMITTED_SHARE: f64 = 0.75;
 /// A refused caller is told to come back within these bounds, in milliseconds.
 const SOONEST_RETURN: u64 = 300;
 const LATEST_RETURN: u64 = 3_000;
@@ -50,7 +53,7 @@
             .iter()
             .map(|phase| request.phases.chain_ms(*phase, &time_of));
         let expected = chains.max()? + TIME_TO_FIRST_PART;
-        let objective = request.routed.route.objective_ms;
+        let objective = (request.routed.route.objective_ms as f64 * ADMITTED_SHARE) as u64;
         if expected <= objective {
             return None;
         }
