Do phases in the zone of what they fetch, and large results where the engine is

Six pieces that each fetch four results of 60 KB are the larger part. Change: an order names the zone where it is best done; an idle maker there is taken first, and orders of other zones count as 300 ms less urgent.

--- a/crates/peer/src/work.rs
+++ b/crates/peer/src/work.rs
@@ -59,6 +59,9 @@
     pub pieces: Vec<Piece>,
     /// Rank of the request; 0 is the most urgent.
     pub priority: u8,
+    /// Zone where the phase is best done, as much has to be moved there from
+    /// elsewhere or from there else; empty for any.
+    pub zone: String,
     /// Milliseconds until the phase should be done to keep the objective.
     pub wanted_in_ms: u64,
     /// Milliseconds until the request's deadline.
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -25,6 +25,9 @@
 const MAX_CALLS_OF_PIECE: u32 = 3;
 /// A lower rank lets a phase wait longer by this much, in milliseconds.
 const RANK_STEP: Millis = 1_000;
+/// An order that had better be made elsewhere counts as less urgent
+/// by this much, in milliseconds.
+const FAR_STEP: Millis = 300;
 /// Share of the makers' room that is filled: sizes of results are approximate,
 /// and a result that is freed is gone a little later.
 const ROOM_SHARE: f64 = 0.85;
@@ -259,34 +262,59 @@
         now: Millis,
         calls: &mut Vec<BatchCall>,
     ) {
-        let mut waiting = self.by_urgency(service);
+        let mut waiting = self.by_urgency(service, "");
         if waiting.is_empty() {
             return;
         }
         let spec = self.specs[service].clone();
         let mut idle = self.idle_makers(service, &spec, table, now);
-        while let (Some(maker), false) = (idle.pop(), waiting.is_empty()) {
+        while !waiting.is_empty() {
+            let Some(maker) = self.take_maker(&mut idle, &waiting[0], table) else {
+                return;
+            };
             // What waits is shared out over the makers that are idle, whole
             // orders to each.
             let share = waiting.len().div_ceil(idle.len() + 1);
-            let taken = self.fill(&maker, &spec, &waiting[..share]);
+            let near_first = self.by_urgency(service, zone_of(&maker, table));
+            let taken = self.fill(&maker, &spec, &near_first[..share]);
             if taken.is_empty() {
                 continue;
             }
             calls.push(self.start(service, &maker, taken, table, now));
-            waiting.retain(|key| self.orders[key].waiting_pieces() > 0);
+            waiting = self.by_urgency(service, "");
         }
     }
 
-    /// Orders with waiting pieces, the most urgent first.
-    fn by_urgency(&self, service: &str) -> Vec<OrderKey> {
+    /// Takes the idle maker for the most urgent order: one in the zone where it had
+    /// better be made, else the one with most room.
+    fn take_maker(
+        &self,
+        idle: &mut Vec<String>,
+        most_urgent: &OrderKey,
+        table: &InstanceTable,
+    ) -> Option<String> {
+        let order = &self.orders[most_urgent];
+        let near = idle
+            .iter()
+            .rposition(|maker| !order.is_far_from(zone_of(maker, table)));
+        match near {
+            Some(position) => Some(idle.remove(position)),
+            None => idle.pop(),
+        }
+    }
+
+    /// Orders with waiting pieces, the most urgent first. For a maker in `zone`,
+    /// those count as less urgent that had better be made in another.
+    fn by_urgency(&self, service: &str, zone: &str) -> Vec<OrderKey> {
         let mut waiting: Vec<(&OrderKey, &Order)> = self
             .orders
             .iter()
             .filter(|(_, order)| order.work.service == service && order.waiting_pieces() > 0)
             .collect();
         waiting.sort_by_key(|(_, order)| {
-            order.wanted_at + RANK_STEP * Millis::from(order.work.priority)
+            let is_far = !zone.is_empty() && order.is_far_from(zone);
+            let far = if is_far { FAR_STEP } else { 0 };
+            order.wanted_at + RANK_STEP * Millis::from(order.work.priority) + far
         });
         waiting.into_iter().map(|(key, _)| key.clone()).collect()
     }
@@ -320,6 +348,14 @@
         let mut room = usable.saturating_sub(self.room.taken(maker));
         let mut taken = Vec::new();
         for key in orders {
+            // Large results of one request stay together, so that its engine finds
+            // them in one zone.
+            let left = spec.pieces - taken.len();
+            let waiting = self.orders[key].waiting_pieces();
+            let is_large = self.orders[key].has_large_results();
+            if is_large && !taken.is_empty() && waiting > left {
+                continue;
+            }
             for (index, piece) in self.orders[key].waiting() {
                 let bytes = piece.result_bytes;
                 if taken.len() >= spec.pieces || bytes > room {
@@ -549,6 +585,10 @@
     }
 }
 
+fn zone_of<'a>(maker: &str, table: &'a InstanceTable) -> &'a str {
+    table.get(maker).map_or("", |one| one.listed.zone.as_str())
+}
+
 fn distinct_requests(pieces: &[(Piece, u64)]) -> Vec<String> {
     let mut requests: Vec<String> = pieces.iter().map(|(one, _)| one.request.clone()).collect();
     requests.dedup();
--- a/crates/serving/src/batcher/order.rs
+++ b/crates/serving/src/batcher/order.rs
@@ -4,6 +4,9 @@
 use crate::Millis;
 use silversail_peer::{PhaseWork, Piece, PieceFailure, ResultHandle};
 
+/// A result that is dear to move, in bytes.
+const LARGE_RESULT: u64 = 100_000;
+
 /// Where a piece is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum PieceState {
@@ -51,6 +54,16 @@
             .map(|(index, _)| (index, &self.work.pieces[index]))
     }
 
+    pub(super) fn has_large_results(&self) -> bool {
+        let mut pieces = self.work.pieces.iter();
+        pieces.any(|piece| piece.result_bytes >= LARGE_RESULT)
+    }
+
+    /// Whether it had better be made in another zone than `zone`.
+    pub(super) fn is_far_from(&self, zone: &str) -> bool {
+        !self.work.zone.is_empty() && self.work.zone != zone
+    }
+
     pub(super) fn waiting_pieces(&self) -> usize {
         self.waiting().count()
     }
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -12,7 +12,7 @@
 use crate::ports::{CallAttributes, ReportedLoad, SendAttributes};
 use crate::retry_budget::{RetryBudget, RetryLimits};
 use crate::routes::{RouteError, RouteTable, Routed};
-use crate::selection::{affinity_key, select, SelectionRequest};
+use crate::selection::select;
 use crate::Millis;
 use admission::Admission;
 use request::{ActiveRequest, PresentSend};
@@ -304,6 +304,10 @@
         if request.phases.all_done() {
             return self.send(number, now);
         }
+        // Where the engine will probably be: large results are best made there.
+        let selection = request.selection(&self.zone);
+        let zone = select(&self.instances, &selection, now)
+            .map_or_else(String::new, |engine| engine.listed.zone.clone());
         let mut actions = Vec::new();
         for phase in request.phases.startable() {
             let work = self.next_work;
@@ -313,7 +317,7 @@
             actions.push(Action::Submit {
                 work,
                 request: request.call.id.clone(),
-                phase: request.phase_work(phase, now),
+                phase: request.phase_work(phase, &zone, &self.instances, now),
             });
         }
         actions
@@ -389,16 +393,7 @@
         let Some(request) = self.requests.get_mut(&number) else {
             return Vec::new();
         };
-        let affinity = match request.routed.route.has_prefix {
-            true => affinity_key(&request.call.prefix),
-            false => None,
-        };
-        let selection = SelectionRequest {
-            service: &request.routed.service,
-            zone: &self.zone,
-            affinity,
-            tried: &request.tried,
-        };
+        let selection = request.selection(&self.zone);
         let Some(instance) = select(&self.instances, &selection, now) else {
             return self.give_up(number, ResultCode::NoBackend, now);
         };
--- a/crates/serving/src/dispatcher/phases.rs
+++ b/crates/serving/src/dispatcher/phases.rs
@@ -159,6 +159,17 @@
         self.results_of(last)
     }
 
+    /// The results that a phase is made from, by the phase that made them.
+    pub(super) fn inputs(&self, phase: usize) -> Vec<(usize, &Vec<ResultHandle>)> {
+        let before = self.phases[phase].after.iter();
+        before
+            .filter_map(|before| match &self.phases[*before].state {
+                PhaseState::Made(handles) => Some((*before, handles)),
+                _ => None,
+            })
+            .collect()
+    }
+
     /// Takes the results whose followers are all made.
     pub(super) fn take_used_up(&mut self) -> Vec<(usize, Vec<ResultHandle>)> {
         let is_made = |one: &Phase| matches!(one.state, PhaseState::Made(_));
--- a/crates/serving/src/dispatcher/request.rs
+++ b/crates/serving/src/dispatcher/request.rs
@@ -2,14 +2,18 @@
 
 use super::phases::PhaseBook;
 use super::Action;
+use crate::instances::InstanceTable;
 use crate::ports::{CallAttributes, SendAttributes};
 use crate::routes::Routed;
+use crate::selection::{affinity_key, SelectionRequest};
 use crate::Millis;
 use silversail_peer::{PhaseWork, Piece, ResultHandle};
 
 /// How long a phase and what comes around it takes at least, in milliseconds:
 /// what a phase leaves to each of those after it.
 const TIME_OF_LATER_PHASE: Millis = 350;
+/// Bytes to be moved from which a phase is tied to a zone.
+const MUCH_TO_MOVE: u64 = 200_000;
 /// Most sends of a request, those to engines that were not reached included.
 const MAX_SENDS: u32 = 5;
 
@@ -68,8 +72,41 @@
         self.phases = PhaseBook::new(&self.routed.route.phases, &self.call.pieces);
     }
 
-    /// The pieces of a phase.
-    pub(super) fn phase_work(&self, phase: usize, now: Millis) -> PhaseWork {
+    /// The zone where a phase is best done: where its inputs are, if each piece
+    /// has much to fetch, else where the engine probably is, if its results are
+    /// large and no other phase needs them. Empty for any.
+    fn best_zone(&self, phase: usize, engine_zone: &str, instances: &InstanceTable) -> String {
+        let spec = &self.routed.route.phases[phase];
+        let pieces = u64::from(self.phases.pieces(phase));
+        let inputs = self.phases.inputs(phase);
+        let fetched: u64 = inputs
+            .iter()
+            .map(|(before, handles)| {
+                self.routed.route.phases[*before].result_bytes * handles.len() as u64
+            })
+            .sum();
+        if fetched * pieces >= MUCH_TO_MOVE {
+            let holder = inputs
+                .iter()
+                .flat_map(|(_, handles)| handles.iter())
+                .find_map(|handle| instances.holder(handle));
+            return holder.map_or_else(String::new, |one| one.listed.zone.clone());
+        }
+        let is_last = self.phases.phases_after(phase) == 0;
+        if is_last && spec.result_bytes * pieces >= MUCH_TO_MOVE {
+            return engine_zone.to_owned();
+        }
+        String::new()
+    }
+
+    /// The pieces of a phase. The engine will probably be in `engine_zone`.
+    pub(super) fn phase_work(
+        &self,
+        phase: usize,
+        engine_zone: &str,
+        instances: &InstanceTable,
+        now: Millis,
+    ) -> PhaseWork {
         let spec = &self.routed.route.phases[phase];
         let source = self.phases.source(phase, &self.call.piece_key);
         let pieces = (0..self.phases.pieces(phase))
@@ -88,6 +125,7 @@
             service: spec.service.clone(),
             pieces,
             priority: self.routed.priority,
+            zone: self.best_zone(phase, engine_zone, instances),
             wanted_in_ms: wanted_at.saturating_sub(now),
             remaining_ms: self.end.saturating_sub(now),
         }
@@ -133,6 +171,20 @@
             .collect()
     }
 
+    /// What the choice of an engine takes into account.
+    pub(super) fn selection<'a>(&'a self, zone: &'a str) -> SelectionRequest<'a> {
+        let affinity = match self.routed.route.has_prefix {
+            true => affinity_key(&self.call.prefix),
+            false => None,
+        };
+        SelectionRequest {
+            service: &self.routed.service,
+            zone,
+            affinity,
+            tried: &self.tried,
+        }
+    }
+
     /// What goes with a send to `instance`.
     pub(super) fn send_attributes(&self, instance: &str, now: Millis) -> SendAttributes {
         SendAttributes {
--- a/crates/serving/src/instances.rs
+++ b/crates/serving/src/instances.rs
@@ -3,6 +3,7 @@
 use crate::ports::{ListedInstance, ReportedLoad};
 use crate::Millis;
 use silversail_decisions::{DecisionLog, Event};
+use silversail_peer::ResultHandle;
 use std::collections::BTreeMap;
 
 /// How long a back end that could not be reached, or broke off, is passed over
@@ -170,6 +171,12 @@
         all.find(|instance| instance.listed.address == address)
     }
 
+    /// The back end that holds a result: a handle begins with its address.
+    pub fn holder(&self, handle: &ResultHandle) -> Option<&Instance> {
+        let address = handle.0.split('/').next()?;
+        self.at_address(address)
+    }
+
     /// Names of all services that have back ends.
     pub fn services(&self) -> impl Iterator<Item = &String> {
         self.by_service.keys()
