A stop takes no request later than 2.7 s after the order

Change: StopTimes: refusals from 0.4 of the grace time, 2.7 s at the most; requests have until 0.65 s before the kill.

--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -250,7 +250,11 @@
             metrics: self.metrics.clone(),
             server: self.server.clone(),
             gateway: self.gateway.clone(),
-            stop_grace: self.settings.gateway.as_ref().map(|one| one.stop_grace_ms),
+            stop_grace: self
+                .settings
+                .gateway
+                .as_ref()
+                .map(|one| Duration::from_millis(one.stop_grace_ms)),
             log: self.log.clone(),
             hand_over: self.actors.hand_overs(),
         };
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -34,19 +34,41 @@
     pub server: Rc<HttpServer>,
     /// The gateway, where there is one.
     pub gateway: Option<Rc<GatewayRuntime>>,
-    /// Milliseconds until the process is killed, where that is known.
-    pub stop_grace: Option<u64>,
+    /// Time until the process is killed, where that is known.
+    pub stop_grace: Option<Duration>,
     /// Decisions.
     pub log: DecisionLog,
     /// Hands leadership over, by group.
     pub hand_over: Vec<Fwd<()>>,
 }
 
-/// New requests are refused from this share of the time until the kill: what is
-/// taken before has the rest of it to end.
-const TAKES_REQUESTS: f64 = 0.45;
-/// The last answers must have left so long before the kill.
-const BEFORE_KILL: Duration = Duration::from_millis(900);
+/// When the steps of a stop come where the time of the kill is known, counted from
+/// the order to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopTimes {
+    /// From then on new requests are refused, so that those taken have time to end.
+    pub refuse_after: Duration,
+    /// Requests must have ended by then.
+    pub drained_by: Duration,
+}
+
+impl StopTimes {
+    /// The times of a process that is killed `grace` after the order to stop.
+    pub fn new(grace: Duration) -> Self {
+        Self {
+            refuse_after: grace.mul_f64(TAKES_REQUESTS).min(LONGEST_TAKING),
+            drained_by: grace.saturating_sub(BEFORE_KILL),
+        }
+    }
+}
+
+/// New requests are refused from this share of the time until the kill.
+const TAKES_REQUESTS: f64 = 0.4;
+/// A request that is taken later than 3 s after the order must end, whatever its
+/// engine does; none is.
+const LONGEST_TAKING: Duration = Duration::from_millis(2_700);
+/// The last answers must have left so long before the kill: a flush and a margin.
+const BEFORE_KILL: Duration = Duration::from_millis(650);
 
 /// The steps of a stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -135,7 +157,7 @@
     /// Until when callers that hold an answer are served.
     fn answers_end(&self, now: Instant) -> Instant {
         match self.setup.stop_grace {
-            Some(grace) => self.began_at + Duration::from_millis(grace).mul_f64(TAKES_REQUESTS),
+            Some(grace) => self.began_at + StopTimes::new(grace).refuse_after,
             None => now + self.answer_lifetime(),
         }
     }
@@ -143,7 +165,7 @@
     /// By when requests under way must have ended.
     fn drained_by(&self, now: Instant) -> Instant {
         match self.setup.stop_grace {
-            Some(grace) => self.began_at + Duration::from_millis(grace) - BEFORE_KILL,
+            Some(grace) => self.began_at + StopTimes::new(grace).drained_by,
             None => now + Duration::from_millis(self.setup.timing.stop_timeout_ms),
         }
     }
