--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -374,9 +374,7 @@
         } in finished
         {
             let work = key.work;
-            let waits = self
-                .batcher
-                .waits(&service, &self.dispatcher.instances, now);
+            let waits = self.batcher.waits(&service, &self.dispatcher.instances);
             if key.node == self.node {
                 self.dispatcher.set_waits(waits, now);
                 self.work_done(&key.node, work, result, now);
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -17,7 +17,7 @@
 use silversail_model::traffic::BatchSpec;
 use silversail_model::NodeName;
 use silversail_peer::{PhaseWork, Piece, PieceFailure, ResultHandle, ServiceWaits, WorkId};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// How long a back end that refused a batch gets none, in milliseconds.
 const REFUSED_FOR: Millis = 80;
@@ -36,10 +36,8 @@
 const INPUTS_READ_AFTER: Millis = 100;
 /// Pieces of a phase for which waits are told.
 const TYPICAL_PIECES: usize = 4;
-/// Time over which the pieces made are counted, in milliseconds.
-const RATE_WINDOW: Millis = 2_000;
-/// Least share of the nominal rate that is expected of a service.
-const LEAST_RATE: f64 = 0.25;
+/// Least share of a full call that is expected of a service.
+const LEAST_FULLNESS: f64 = 0.2;
 
 /// Identifies an order of work by the node that gave it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -103,7 +101,7 @@
     calls: BTreeMap<CallId, CallState>,
     refused_until: BTreeMap<String, Millis>,
     room: RoomBook,
-    made: BTreeMap<String, VecDeque<(Millis, usize)>>,
+    fullness: BTreeMap<String, f64>,
     next_call: CallId,
     log: DecisionLog,
 }
@@ -117,7 +115,7 @@
             calls: BTreeMap::new(),
             refused_until: BTreeMap::new(),
             room: RoomBook::default(),
-            made: BTreeMap::new(),
+            fullness: BTreeMap::new(),
             next_call: 1,
             log,
         }
@@ -137,7 +135,7 @@
         now: Millis,
     ) -> Result<(), PieceFailure> {
         let rank = work.priority;
-        let expected = self.expected_ms(&work.service, work.pieces.len(), rank, table, now)?;
+        let expected = self.expected_ms(&work.service, work.pieces.len(), rank, table)?;
         if expected > work.remaining_ms {
             return Err(PieceFailure::Overloaded);
         }
@@ -156,7 +154,6 @@
         pieces: usize,
         rank: u8,
         table: &InstanceTable,
-        now: Millis,
     ) -> Result<u64, PieceFailure> {
         let spec = self.specs.get(service).ok_or(PieceFailure::NoBackend)?;
         let makers = table
@@ -177,35 +174,34 @@
             true => full_call / (makers + 1) as f64,
             false => 0.0,
         };
-        let nominal = (makers * spec.pieces) as f64 / full_call;
-        let is_backed_up = waiting > makers * spec.pieces / 2;
-        let rate = match is_backed_up {
-            true => self.rate(service, now).clamp(nominal * LEAST_RATE, nominal),
-            false => nominal,
-        };
+        let pieces_of_call = spec.pieces as f64 * self.fullness_of(service);
+        let call_ms = spec.call_ms + spec.piece_ms * pieces_of_call;
+        let rate = makers as f64 * pieces_of_call / call_ms;
         Ok((until_free + waiting as f64 / rate + own_call) as u64)
     }
 
-    /// Pieces of a service made in a millisecond, lately.
-    fn rate(&self, service: &str, now: Millis) -> f64 {
-        let made = self.made.get(service).into_iter().flatten();
-        let recent = made.filter(|(at, _)| at + RATE_WINDOW >= now);
-        let pieces: usize = recent.map(|(_, pieces)| pieces).sum();
-        pieces as f64 / RATE_WINDOW as f64
+    fn fullness_of(&self, service: &str) -> f64 {
+        self.fullness.get(service).copied().unwrap_or(1.0)
     }
 
-    fn note_made(&mut self, service: &str, pieces: usize, now: Millis) {
-        let made = self.made.entry(service.to_owned()).or_default();
-        made.push_back((now, pieces));
-        while made.front().is_some_and(|(at, _)| at + RATE_WINDOW < now) {
-            made.pop_front();
-        }
+    /// How full calls get while more waits than they take: room at the makers may
+    /// limit them.
+    fn note_fullness(&mut self, service: &str, taken: usize, is_limited: bool) {
+        let most = self.specs[service].pieces.max(1);
+        let seen = match is_limited {
+            true => (taken as f64 / most as f64).clamp(LEAST_FULLNESS, 1.0),
+            false => 1.0,
+        };
+        let weight = if is_limited { 0.2 } else { 0.05 };
+        let known = self.fullness_of(service);
+        let next = known + weight * (seen - known);
+        self.fullness.insert(service.to_owned(), next);
     }
 
     /// How long a phase of a service takes now, by rank.
-    pub fn waits(&self, service: &str, table: &InstanceTable, now: Millis) -> ServiceWaits {
+    pub fn waits(&self, service: &str, table: &InstanceTable) -> ServiceWaits {
         let wait = |rank: usize| {
-            let expected = self.expected_ms(service, TYPICAL_PIECES, rank as u8, table, now);
+            let expected = self.expected_ms(service, TYPICAL_PIECES, rank as u8, table);
             expected.map_or(u32::MAX, |ms| ms.min(u64::from(u32::MAX)) as u32)
         };
         ServiceWaits {
@@ -280,7 +276,10 @@
             if taken.is_empty() {
                 continue;
             }
+            let taken_pieces = taken.len();
             calls.push(self.start(service, &maker, taken, table, now));
+            let is_limited = idle.is_empty() && self.waiting_of(service).any(Order::is_waiting);
+            self.note_fullness(service, taken_pieces, is_limited);
             waiting = self.by_urgency(service, "");
         }
     }
@@ -460,8 +459,6 @@
             .get(&call.service)
             .map_or(0, |spec| spec.result_lifetime_ms);
         let mut finished = Vec::new();
-        let made = results.iter().filter(|result| result.is_ok()).count();
-        self.note_made(&call.service, made, now);
         for ((key, index), result) in call.members.iter().zip(results) {
             if let Ok(handle) = &result {
                 let bytes = self.bytes_of(key, *index);
--- a/crates/serving/src/batcher/order.rs
+++ b/crates/serving/src/batcher/order.rs
@@ -64,6 +64,10 @@
         !self.work.zone.is_empty() && self.work.zone != zone
     }
 
+    pub(super) fn is_waiting(&self) -> bool {
+        self.states.contains(&PieceState::Waiting)
+    }
+
     pub(super) fn waiting_pieces(&self) -> usize {
         self.waiting().count()
     }
--- /dev/null
+++ b/crates/serving/tests/batcher.rs
@@ -0,0 +1,239 @@
+//! Which pieces share a call.
+
+mod common;
+
+use common::{batch_spec, instance};
+use silversail_decisions::DecisionLog;
+use silversail_peer::{PhaseWork, Piece, PieceFailure, PieceSource, ResultHandle};
+use silversail_serving::batcher::{BatchCall, Batcher, CallOutcome, OrderKey};
+use silversail_serving::instances::InstanceTable;
+
+fn table(makers: &[(&str, &str)]) -> InstanceTable {
+    let mut table = InstanceTable::new(DecisionLog::off());
+    let listed = makers.iter().map(|(id, zone)| instance(id, "encode", zone));
+    table.replace(listed.collect());
+    table
+}
+
+fn batcher() -> Batcher {
+    let mut batcher = Batcher::new(DecisionLog::off());
+    batcher.set_specs([("encode".to_owned(), batch_spec())].into());
+    batcher
+}
+
+fn key(work: u64) -> OrderKey {
+    OrderKey {
+        node: "n1".into(),
+        work,
+    }
+}
+
+fn work(request: u64, pieces: u32) -> PhaseWork {
+    let piece = |index| Piece {
+        request: format!("r{request}"),
+        phase: 0,
+        index,
+        source: PieceSource::Key("k".into()),
+        result_bytes: 1_000,
+    };
+    PhaseWork {
+        service: "encode".into(),
+        pieces: (0..pieces).map(piece).collect(),
+        priority: 1,
+        zone: String::new(),
+        wanted_in_ms: 1_000,
+        remaining_ms: 4_000,
+    }
+}
+
+fn made(call: &BatchCall) -> CallOutcome {
+    let handle = |(piece, _): &(Piece, u64)| {
+        Ok(ResultHandle(format!(
+            "{}/{}-{}",
+            call.address, piece.request, piece.index
+        )))
+    };
+    CallOutcome::Answered(call.pieces.iter().map(handle).collect())
+}
+
+#[test]
+fn an_idle_maker_gets_what_waits_at_once_and_a_busy_one_gathers() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 2), &table, 0)
+        .expect("taken");
+    let first = batcher.next_calls(&table, 0);
+    assert_eq!(first.len(), 1);
+    assert_eq!(first[0].pieces.len(), 2);
+    for request in 2..5 {
+        batcher
+            .submit(key(request), work(request, 2), &table, 10)
+            .expect("taken");
+        assert!(batcher.next_calls(&table, 10).is_empty());
+    }
+    let finished = batcher.call_ended(first[0].call, made(&first[0]), 260);
+    assert_eq!(finished.len(), 1);
+    assert_eq!(finished[0].result.as_ref().map(Vec::len), Ok(2));
+    // Pieces of three requests share the next call.
+    let second = batcher.next_calls(&table, 260);
+    assert_eq!(second[0].pieces.len(), 6);
+}
+
+#[test]
+fn results_come_in_the_order_of_the_pieces_over_several_calls() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 11), &table, 0)
+        .expect("taken");
+    let first = batcher.next_calls(&table, 0);
+    assert_eq!(first[0].pieces.len(), 8);
+    assert!(batcher
+        .call_ended(first[0].call, made(&first[0]), 300)
+        .is_empty());
+    let second = batcher.next_calls(&table, 300);
+    assert_eq!(second[0].pieces.len(), 3);
+    let finished = batcher.call_ended(second[0].call, made(&second[0]), 600);
+    let handles = finished[0].result.clone().expect("made");
+    let expected: Vec<String> = (0..11).map(|index| format!("s1:80/r1-{index}")).collect();
+    let names: Vec<&str> = handles.iter().map(|one| one.0.as_str()).collect();
+    assert_eq!(names, expected);
+}
+
+#[test]
+fn the_more_urgent_goes_first_and_is_told_a_shorter_wait() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 8), &table, 0)
+        .expect("taken");
+    let first = batcher.next_calls(&table, 0);
+    for request in 2..8 {
+        batcher
+            .submit(key(request), work(request, 8), &table, 0)
+            .expect("taken");
+    }
+    let mut urgent = work(9, 1);
+    urgent.priority = 0;
+    batcher.submit(key(9), urgent, &table, 5).expect("taken");
+    let waits = batcher.waits("encode", &table);
+    assert!(waits.by_rank[0] < waits.by_rank[1], "{waits:?}");
+    batcher.call_ended(first[0].call, made(&first[0]), 300);
+    let next = batcher.next_calls(&table, 300);
+    assert_eq!(next[0].pieces[0].0.request, "r9");
+}
+
+#[test]
+fn room_at_the_maker_is_never_overdrawn_and_comes_back() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    let mut large = work(1, 4);
+    large
+        .pieces
+        .iter_mut()
+        .for_each(|piece| piece.result_bytes = 300_000);
+    batcher.submit(key(1), large, &table, 0).expect("taken");
+    let first = batcher.next_calls(&table, 0);
+    // A million bytes of room, of which 85 in 100 are used.
+    assert_eq!(first[0].pieces.len(), 2);
+    batcher.call_ended(first[0].call, made(&first[0]), 300);
+    assert!(batcher.next_calls(&table, 300).is_empty());
+    batcher.release(&[ResultHandle("s1:80/r1-0".into())]);
+    assert_eq!(batcher.take_releases().len(), 1);
+    assert_eq!(batcher.next_calls(&table, 301)[0].pieces.len(), 1);
+}
+
+#[test]
+fn a_cancelled_order_frees_what_was_made_and_what_is_still_to_come() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 9), &table, 0)
+        .expect("taken");
+    let first = batcher.next_calls(&table, 0);
+    batcher.cancel(&key(1));
+    assert!(batcher
+        .call_ended(first[0].call, made(&first[0]), 300)
+        .is_empty());
+    assert_eq!(batcher.take_releases().len(), 8);
+    assert!(batcher.next_calls(&table, 300).is_empty());
+    assert_eq!(batcher.sizes(), (0, 0));
+}
+
+#[test]
+fn a_batch_of_unknown_fate_is_made_again_elsewhere_but_not_for_ever() {
+    let (mut table, mut batcher) = (table(&[("s1", "a"), ("s2", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 1), &table, 0)
+        .expect("taken");
+    let mut now = 0;
+    for _ in 0..2 {
+        let call = batcher.next_calls(&table, now).remove(0);
+        table.failed(&call.instance, now, "test");
+        assert!(batcher
+            .call_ended(call.call, CallOutcome::Unknown, now)
+            .is_empty());
+        now += 10;
+    }
+    now += 2_000;
+    let call = batcher.next_calls(&table, now).remove(0);
+    let finished = batcher.call_ended(call.call, CallOutcome::Unknown, now);
+    assert_eq!(finished[0].result, Err(PieceFailure::Failed));
+}
+
+#[test]
+fn an_order_given_twice_is_made_once() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 2), &table, 0)
+        .expect("taken");
+    let call = batcher.next_calls(&table, 0).remove(0);
+    batcher
+        .submit(key(1), work(1, 2), &table, 10)
+        .expect("taken");
+    assert!(batcher.next_calls(&table, 10).is_empty());
+    assert_eq!(batcher.call_ended(call.call, made(&call), 300).len(), 1);
+    assert!(batcher.next_calls(&table, 300).is_empty());
+}
+
+#[test]
+fn inputs_are_told_read_once_all_pieces_are_at_work() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 9), &table, 0)
+        .expect("taken");
+    let first = batcher.next_calls(&table, 0).remove(0);
+    assert!(batcher.inputs_read(200).is_empty());
+    batcher.call_ended(first.call, made(&first), 300);
+    batcher.next_calls(&table, 300);
+    assert!(batcher.inputs_read(399).is_empty());
+    assert_eq!(batcher.inputs_read(400), [key(1)]);
+    assert!(batcher.inputs_read(500).is_empty());
+}
+
+#[test]
+fn an_order_is_made_in_its_zone_where_a_maker_is_idle() {
+    let (table, mut batcher) = (table(&[("s1", "a"), ("s2", "b")]), batcher());
+    for (number, zone) in [(1, "b"), (2, "a")] {
+        let mut order = work(number, 1);
+        order.zone = zone.to_owned();
+        batcher
+            .submit(key(number), order, &table, 0)
+            .expect("taken");
+        let call = batcher.next_calls(&table, 0).remove(0);
+        let expected = if zone == "a" { "s1" } else { "s2" };
+        assert_eq!(call.instance, expected);
+    }
+}
+
+#[test]
+fn an_order_that_cannot_be_done_in_time_is_refused_and_a_late_one_ended() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    let mut hopeless = work(1, 1);
+    hopeless.remaining_ms = 100;
+    let refused = batcher.submit(key(1), hopeless, &table, 0);
+    assert_eq!(refused, Err(PieceFailure::Overloaded));
+    let nowhere = batcher.submit(key(2), work(2, 1), &self::table(&[]), 0);
+    assert_eq!(nowhere, Err(PieceFailure::NoBackend));
+    batcher
+        .submit(key(3), work(3, 1), &table, 0)
+        .expect("taken");
+    let finished = batcher.expire(4_000);
+    assert_eq!(finished[0].result, Err(PieceFailure::Late));
+}
--- /dev/null
+++ b/crates/serving/tests/common/mod.rs
@@ -0,0 +1,160 @@
+//! A small traffic configuration and its back ends.
+#![allow(dead_code)]
+
+use silversail_decisions::DecisionLog;
+use silversail_model::traffic::{
+    BatchSpec, CallerLimits, EngineSpec, PhaseSpec, Route, RouteKind, RouteTarget, ServiceSpec,
+};
+use silversail_model::TrafficConfiguration;
+use silversail_serving::dispatcher::Dispatcher;
+use silversail_serving::ports::{CallAttributes, ListedInstance};
+use silversail_serving::retry_budget::RetryLimits;
+use silversail_serving::routes::RouteTable;
+
+pub const LIMITS: RetryLimits = RetryLimits {
+    ratio: 0.2,
+    allowance: 60.0,
+    window: 10_000,
+};
+
+pub fn route(name: &str, prefix: &str, service: &str, kind: RouteKind) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        path_prefix: prefix.into(),
+        kind,
+        timeout_ms: 5_000,
+        objective_ms: 2_000,
+        priority: 1,
+        targets: vec![RouteTarget {
+            service: service.into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        phases: Vec::new(),
+        open: false,
+        has_prefix: service == "pool",
+    }
+}
+
+pub fn phase(service: &str, after: &[usize], result_bytes: u64) -> PhaseSpec {
+    PhaseSpec {
+        service: service.into(),
+        after: after.to_vec(),
+        result_bytes,
+    }
+}
+
+pub fn batch_spec() -> BatchSpec {
+    BatchSpec {
+        slots: 1,
+        queue: 2,
+        pieces: 8,
+        call_ms: 240.0,
+        piece_ms: 10.0,
+        room_bytes: 1_000_000,
+        result_lifetime_ms: 4_000,
+    }
+}
+
+fn service(name: &str, engine: Option<EngineSpec>, batch: Option<BatchSpec>) -> ServiceSpec {
+    ServiceSpec {
+        name: name.into(),
+        health_path: "/health".into(),
+        max_connections: 100,
+        engine,
+        batch,
+    }
+}
+
+/// Routes: `chat` (a stream, not resumable), `deep` (a resumable stream), `gate`
+/// (at most once), `lookup` (repeatable), `staged` (a stream after phases 0 and
+/// 1 in a row and phase 2 beside them).
+pub fn traffic() -> TrafficConfiguration {
+    let stream = |resumable| RouteKind::Stream { resumable };
+    let mut staged = route("staged", "/staged/", "pool", stream(false));
+    staged.phases = vec![
+        phase("encode", &[], 1_000),
+        phase("encode", &[0], 1_000),
+        phase("encode", &[], 500_000),
+    ];
+    TrafficConfiguration {
+        version: 7,
+        routes: vec![
+            route("chat", "/chat/", "pool", stream(false)),
+            route("deep", "/chat/deep/", "pool", stream(true)),
+            route("gate", "/gate/", "gate", RouteKind::AtMostOnce),
+            route("lookup", "/lookup/", "gate", RouteKind::Repeatable),
+            staged,
+        ],
+        services: vec![
+            service(
+                "pool",
+                Some(EngineSpec {
+                    slots: 64,
+                    token_capacity: 500_000,
+                }),
+                None,
+            ),
+            service("gate", None, None),
+            service("encode", None, Some(batch_spec())),
+        ],
+        tenants: Vec::new(),
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 4 << 20,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
+
+/// A request for `chat`.
+pub fn call(id: &str) -> CallAttributes {
+    CallAttributes {
+        id: id.into(),
+        host: "a.example".into(),
+        path: "/chat/x".into(),
+        deadline_ms: Some(4_000),
+        ..CallAttributes::default()
+    }
+}
+
+pub fn call_of(id: &str, path: &str) -> CallAttributes {
+    CallAttributes {
+        path: path.into(),
+        ..call(id)
+    }
+}
+
+pub fn instance(id: &str, service: &str, zone: &str) -> ListedInstance {
+    ListedInstance {
+        id: id.into(),
+        service: service.into(),
+        address: format!("{id}:80"),
+        zone: zone.into(),
+        slots: if service == "pool" { 64 } else { 4 },
+        draining: false,
+    }
+}
+
+/// Three engines, two gates and two encoders over zones `a` and `b`.
+pub fn instances() -> Vec<ListedInstance> {
+    vec![
+        instance("e1", "pool", "a"),
+        instance("e2", "pool", "b"),
+        instance("e3", "pool", "b"),
+        instance("g1", "gate", "a"),
+        instance("g2", "gate", "b"),
+        instance("s1", "encode", "a"),
+        instance("s2", "encode", "b"),
+    ]
+}
+
+/// A dispatcher with [`traffic`] and [`instances`].
+pub fn dispatcher() -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("a", LIMITS, 1, DecisionLog::off());
+    dispatcher.set_routes(RouteTable::new(&traffic()));
+    dispatcher.instances.replace(instances());
+    dispatcher
+}
