Formation and repair by simulation: a machine gone for good goes out of the group

Change: a leader of at least 2.9 s takes a voter silent for 2.5 s out of an even group above three, which makes it bear more; smaller groups are never made smaller.

--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -110,3 +110,26 @@
     next.voters.insert(join.replica, join.node.clone());
     Some(next)
 }
+
+/// The membership without a voter whose node `is_silent`, where that makes the
+/// group bear more: an even number of voters bears no more losses than the odd
+/// one below it, so a silent voter of an even group only costs. A group of three
+/// or fewer is never made smaller, as a lost disk on top would end it.
+pub fn without_silent(
+    current: &Membership,
+    own: ReplicaId,
+    is_silent: impl Fn(&str) -> bool,
+) -> Option<Membership> {
+    let count = current.voters.len();
+    if count <= SMALLEST_SAFE || !count.is_multiple_of(2) {
+        return None;
+    }
+    let mut voters = current.voters.iter();
+    let silent = voters.find(|(replica, node)| **replica != own && is_silent(node))?;
+    let mut next = current.clone();
+    next.voters.remove(silent.0);
+    Some(next)
+}
+
+/// Fewest voters that bear the loss of one.
+const SMALLEST_SAFE: usize = 3;
--- a/crates/consensus/tests/replica.rs
+++ b/crates/consensus/tests/replica.rs
@@ -2,8 +2,8 @@
 //! faults are simulated in `silversail-simulation`.
 
 use silversail_consensus::{
-    next_membership, ConsensusConfig, Entry, HardState, JoinRequest, Membership, Message,
-    MessageBody, Payload, Replica, ReplicaId, Role, Snapshot, SnapshotMeta, StoredState,
+    next_membership, without_silent, ConsensusConfig, Entry, HardState, JoinRequest, Membership,
+    Message, MessageBody, Payload, Replica, ReplicaId, Role, Snapshot, SnapshotMeta, StoredState,
 };
 
 const CLUSTER: u64 = 9;
@@ -323,3 +323,31 @@
     assert!(output.restore.is_none());
     assert_eq!((two.last_index(), two.commit_index()), (6, 4));
 }
+
+fn members(voters: &[(u64, &str)]) -> Membership {
+    Membership {
+        voters: voters
+            .iter()
+            .map(|(replica, node)| (ReplicaId(*replica), (*node).to_owned()))
+            .collect(),
+        ..Membership::default()
+    }
+}
+
+#[test]
+fn a_silent_voter_of_an_even_group_goes_and_of_an_odd_or_small_one_stays() {
+    let is_silent = |node: &str| node == "b";
+    let four = members(&[(1, "a"), (2, "b"), (3, "c"), (4, "d")]);
+    let three = without_silent(&four, ReplicaId(1), is_silent).expect("smaller");
+    assert_eq!(three, members(&[(1, "a"), (3, "c"), (4, "d")]));
+    assert_eq!(without_silent(&four, ReplicaId(1), |_| false), None);
+    // A leader never takes itself out.
+    assert_eq!(without_silent(&four, ReplicaId(2), is_silent), None);
+    for group in [
+        members(&[(1, "a"), (2, "b")]),
+        members(&[(1, "a"), (2, "b"), (3, "c")]),
+        members(&[(1, "a"), (2, "b"), (3, "c"), (4, "d"), (5, "e")]),
+    ] {
+        assert_eq!(without_silent(&group, ReplicaId(1), is_silent), None);
+    }
+}
--- a/crates/daemon/src/replica/actor.rs
+++ b/crates/daemon/src/replica/actor.rs
@@ -8,9 +8,9 @@
 use crate::replica::log_writer::LogWriter;
 use crate::replica::status::SharedStatus;
 use silversail_consensus::{
-    next_membership, ConsensusConfig, Entry, HardState, Index, JoinRequest, Membership, Message,
-    Millis, Payload, Replica, ReplicaId, Role, Snapshot, SnapshotMeta, StateMachine, StoredState,
-    Term, WriteBatch,
+    next_membership, without_silent, ConsensusConfig, Entry, HardState, Index, JoinRequest,
+    Membership, Message, Millis, Payload, Replica, ReplicaId, Role, Snapshot, SnapshotMeta,
+    StateMachine, StoredState, Term, WriteBatch,
 };
 use silversail_model::NodeName;
 use silversail_peer::{FormationMessage, GroupId, GroupMessage, PeerMessage, ProposeResult};
@@ -30,6 +30,9 @@
 /// A new leader waits so many rounds for join requests before it takes a learner
 /// for gone: about five seconds.
 const ROUNDS_BEFORE_DROP: u64 = 20;
+/// A new leader waits so many rounds, about as long as a silence, before it takes a
+/// voter that it has not heard for gone.
+const ROUNDS_BEFORE_REMOVAL: u64 = 12;
 /// Silence after which a voter gives its place to a new node that is ready, in
 /// milliseconds.
 const VOTER_SILENCE: Millis = 2_500;
@@ -405,7 +408,10 @@
         let directory = self.setup.directory.borrow();
         let is_silent = |node: &str| {
             let silence = directory.silence_of(node, now);
-            directory.is_discovering() && silence.is_none_or(|silence| silence > VOTER_SILENCE)
+            let is_settled = self.rounds_as_leader > ROUNDS_BEFORE_REMOVAL;
+            is_settled
+                && directory.is_discovering()
+                && silence.is_none_or(|silence| silence > VOTER_SILENCE)
         };
         let step = joining.clone().find_map(|join| {
             next_membership(
@@ -415,6 +421,7 @@
                 is_silent,
             )
         });
+        let step = step.or_else(|| without_silent(&membership, replica.id(), is_silent));
         drop(directory);
         // A learner that asks no more is a former identity, whose request came
         // late: it would stay for ever.
--- a/crates/simulation/src/hollow.rs
+++ b/crates/simulation/src/hollow.rs
@@ -2,7 +2,7 @@
 //! one process, to measure what control costs as the cluster grows.
 
 use crate::network::Traffic;
-use crate::world::{World, WorldSize};
+use crate::world::{Knowledge, World, WorldSize};
 use serde::Serialize;
 use serde_json::json;
 use silversail_consensus::Millis;
@@ -104,6 +104,7 @@
         voters: VOTERS,
         zones: ZONES,
         is_hollow: true,
+        knowledge: Knowledge::Settings,
     };
     let mut hollow = Hollow {
         world: World::new(1, size),
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -1,6 +1,7 @@
 //! The network in memory: messages are delayed, lost, held back and released
 //! late, by seed.
 
+use crate::world::FIRST_PORT;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use silversail_consensus::Millis;
@@ -159,4 +160,16 @@
         self.0.borrow_mut().send(to.clone(), envelope.clone());
         SendResult::Queued
     }
+
+    fn send_to_address(&mut self, address: &str, envelope: &Envelope) -> SendResult {
+        let port = address
+            .rsplit(':')
+            .next()
+            .and_then(|port| port.parse().ok());
+        let position = port.and_then(|port: usize| port.checked_sub(FIRST_PORT));
+        let Some(position) = position else {
+            return SendResult::UnknownPeer;
+        };
+        self.send(&NodeName(format!("n{position:03}")), envelope)
+    }
 }
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -2,7 +2,7 @@
 
 use crate::network::NetworkFaults;
 use crate::traffic::TrafficLog;
-use crate::world::{World, WorldSize};
+use crate::world::{Knowledge, World, WorldSize};
 use rand::seq::SliceRandom;
 use rand::Rng;
 use silversail_consensus::Millis;
@@ -91,6 +91,7 @@
         voters,
         zones: 3,
         is_hollow: false,
+        knowledge: Knowledge::Settings,
     };
     let mut scenario = Scenario {
         world: World::new(seed, size),
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -72,6 +72,17 @@
     pub zones: usize,
     /// Whether nodes only keep in step and serve no requests.
     pub is_hollow: bool,
+    /// How nodes come to know each other.
+    pub knowledge: Knowledge,
+}
+
+/// How the nodes of a world come to know each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Knowledge {
+    /// The settings name all.
+    Settings,
+    /// Discovery from the addresses of these three nodes.
+    Contacts([usize; 3]),
 }
 
 impl World {
@@ -422,6 +433,9 @@
         })
         .collect();
     let voters: Vec<_> = (0..size.voters).map(|node| format!("n{node:03}")).collect();
+    if let Knowledge::Contacts(contacts) = size.knowledge {
+        return discovering_settings(position, size, contacts, true);
+    }
     let settings = json!({
         "node": format!("n{position:03}"),
         "cluster": { "name": "simulated", "nodes": nodes, "voters": voters },
@@ -432,3 +446,43 @@
     settings.validate().expect("the settings are valid");
     settings
 }
+
+/// Settings of a node that knows three contact addresses. `first_start` tells
+/// whether a cluster may be formed.
+pub fn discovering_settings(
+    position: usize,
+    size: WorldSize,
+    contacts: [usize; 3],
+    first_start: bool,
+) -> Settings {
+    let name = format!("n{position:03}");
+    let mut settings = json!({
+        "node": name,
+        "cluster": { "name": "simulated", "ledger_groups": 0 },
+        "discovery": {
+            "own": {
+                "name": name,
+                "zone": format!("z{}", position % size.zones),
+                "peer": peer_address(position),
+                "callers": "127.0.0.1:1",
+            },
+            "contacts": contacts.map(peer_address),
+            "first_start": first_start,
+        },
+        "operators": "127.0.0.1:1",
+    });
+    if position < size.voters {
+        settings["data_folder"] = "none".into();
+    }
+    let settings: Settings = serde_json::from_value(settings).expect("the settings are complete");
+    settings.validate().expect("the settings are valid");
+    settings
+}
+
+/// Address of a simulated node.
+pub fn peer_address(position: usize) -> String {
+    format!("127.0.0.1:{}", FIRST_PORT + position)
+}
+
+/// Port of the first simulated node.
+pub const FIRST_PORT: usize = 2_000;
--- a/crates/simulation/tests/relays.rs
+++ b/crates/simulation/tests/relays.rs
@@ -5,7 +5,7 @@
 use silversail_control::{ChangeRequest, ControlCommand};
 use silversail_model::{ConfigurationDocument, NodeName};
 use silversail_peer::GroupId;
-use silversail_simulation::world::{World, WorldSize};
+use silversail_simulation::world::{Knowledge, World, WorldSize};
 use stakker::{call, ret_nop};
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
     voters: 3,
     zones: 3,
     is_hollow: true,
+    knowledge: Knowledge::Settings,
 };
 
 fn change(world: &mut World, position: usize) {
