silversail explain, and one bounded log for decisions and notes

Cause: the on-call walk from a request's id to its cause needs the lines of several processes put together; lines of the log crate went to standard error, blocking. Change: decisions::explain (paths over processes, the first decision that lost a request, beliefs, gaps) with the command; log records become notes of the same bounded writer; leader changes are told; the last lines are written before the exit; docs/DECISION_LOG.md, compared with the types by a test.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod configuration;
 pub mod emulate;
+pub mod explain;
 pub mod hollow;
 pub mod load;
 pub mod plan;
@@ -35,6 +36,8 @@
     CheckHistory(check::CheckHistory),
     /// See [`emulate::Emulate`].
     Emulate(emulate::Emulate),
+    /// See [`explain::Explain`].
+    Explain(explain::Explain),
     /// See [`hollow::Hollow`].
     Hollow(hollow::Hollow),
     /// See [`load::Load`].
@@ -60,6 +63,7 @@
             Command::Check(command) => command.run(),
             Command::CheckHistory(command) => command.run(),
             Command::Emulate(command) => command.run(),
+            Command::Explain(command) => command.run(),
             Command::Hollow(command) => command.run(),
             Command::Load(command) => command.run(),
             Command::Plan(command) => command.run(),
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,17 +1,25 @@
 //! One structured line an event, to standard error or to rotating files.
 
 use crate::settings::LogSettings;
+use flexi_logger::writers::LogWriter;
 use flexi_logger::{
     Cleanup, Criterion, DeferredNow, FileSpec, FlexiLoggerError, Logger, LoggerHandle, Naming,
 };
 use log::kv::{Error, Key, Value, VisitSource};
 use log::Record;
+use silversail_decisions::{DecisionLog, Event, LogLimits};
 use std::io::{self, Write};
 
-/// Starts logging; the handle keeps it going.
-pub fn start(settings: &LogSettings, node: &str) -> Result<LoggerHandle, FlexiLoggerError> {
+/// Starts logging; the handle keeps it going. Where decisions are written, other
+/// lines go the same way, so that no component waits for the output.
+pub fn start(
+    settings: &LogSettings,
+    node: &str,
+    decisions: &DecisionLog,
+) -> Result<LoggerHandle, FlexiLoggerError> {
     let logger = Logger::try_with_str(&settings.level)?.format(write_line);
     let logger = match &settings.folder {
+        None if settings.decisions => logger.log_to_writer(Box::new(NoteWriter(decisions.clone()))),
         None => logger.log_to_stderr(),
         Some(folder) => logger
             .log_to_file(FileSpec::default().directory(folder).basename(node))
@@ -24,6 +32,54 @@
     logger.start()
 }
 
+/// Starts the decision log, where the settings want it.
+pub fn start_decisions(settings: &LogSettings, node: &str) -> io::Result<DecisionLog> {
+    if !settings.decisions {
+        return Ok(DecisionLog::off());
+    }
+    DecisionLog::start(node, LogLimits::default(), io::stdout())
+}
+
+/// Turns log records into lines of the decision log.
+struct NoteWriter(DecisionLog);
+
+impl LogWriter for NoteWriter {
+    fn write(&self, _now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+        let mut fields = NoteFields::default();
+        record
+            .key_values()
+            .visit(&mut fields)
+            .map_err(io::Error::other)?;
+        self.0.record(Event::Note {
+            level: record.level().as_str().to_ascii_lowercase(),
+            name: fields.name,
+            inputs: fields.inputs,
+            message: record.args().to_string(),
+        });
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[derive(Default)]
+struct NoteFields {
+    name: String,
+    inputs: Vec<String>,
+}
+
+impl<'kvs> VisitSource<'kvs> for NoteFields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        match key.as_str() {
+            "event" => self.name = value.to_string(),
+            _ => self.inputs.push(format!("{key}={value}")),
+        }
+        Ok(())
+    }
+}
+
 fn write_line(out: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
     let time = now.now_utc_owned().format("%Y-%m-%dT%H:%M:%S%.3fZ");
     write!(out, "time={time} level={}", record.level())?;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,10 @@
 use silversail_daemon::{logging, Node, NodeParts, Settings};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
+
+/// Longest wait for the last lines to be written.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Runs one process of a silversail cluster.
 #[derive(FromArgs)]
@@ -21,19 +25,29 @@
         Ok(settings) => settings,
         Err(error) => return fail(&error),
     };
-    let _logger = match logging::start(&settings.log, settings.node.as_str()) {
+    let decisions = match logging::start_decisions(&settings.log, settings.node.as_str()) {
+        Ok(decisions) => decisions,
+        Err(error) => return fail(&error),
+    };
+    let started = logging::start(&settings.log, settings.node.as_str(), &decisions);
+    let _logger = match started {
         Ok(logger) => logger,
         Err(error) => return fail(&error),
     };
     let parts = NodeParts {
         settings,
         settings_path: path,
+        log: decisions.clone(),
         protocols: silversail_platform::protocols(),
     };
     match Node::start(parts).and_then(Node::run) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) => {
+            decisions.close(CLOSE_TIMEOUT);
+            ExitCode::SUCCESS
+        }
         Err(error) => {
             log::error!(event = "stopped", code = error.code.number(); "{error}");
+            decisions.close(CLOSE_TIMEOUT);
             fail(&error)
         }
     }
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -46,6 +46,8 @@
     pub settings_path: PathBuf,
     /// The outside protocols of the gateway.
     pub protocols: Protocols,
+    /// Where decisions are told.
+    pub log: DecisionLog,
 }
 
 /// A running process.
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -17,7 +17,7 @@
 use crate::surface::operators;
 use silversail_backend::Agents;
 use silversail_consensus::ReplicaId;
-use silversail_decisions::{DecisionLog, Event as LogEvent, LogLimits};
+use silversail_decisions::Event as LogEvent;
 use silversail_http::{HttpServer, HttpServerConfig};
 use silversail_model::ResultCode;
 use silversail_peer::{Envelope, GroupId, GroupMessage, NngTransport, PeerMessage};
@@ -49,7 +49,7 @@
     };
     let directory = settings.directory(incarnation, clock.millis(now));
     let directory = Rc::new(RefCell::new(directory));
-    let log = start_decision_log(&settings)?;
+    let log = parts.log;
     let outbox = open_outbox(&settings, &events, &metrics, incarnation)?;
     let agents = Agents::new();
     let gateway = match &settings.gateway {
@@ -162,15 +162,6 @@
     }
 }
 
-fn start_decision_log(settings: &Settings) -> Result<DecisionLog, NodeError> {
-    if !settings.log.decisions {
-        return Ok(DecisionLog::off());
-    }
-    let limits = LogLimits::default();
-    DecisionLog::start(settings.node.as_str(), limits, std::io::stdout())
-        .map_err(|error| NodeError::new(ResultCode::InvalidSettings, error))
-}
-
 fn start_gateway(
     settings: &GatewaySettings,
     protocols: &Protocols,
--- a/crates/daemon/src/replica/actor.rs
+++ b/crates/daemon/src/replica/actor.rs
@@ -530,7 +530,14 @@
             self.apply(output.committed);
         }
         if let State::Member(replica) = &self.state {
-            self.setup.status.borrow_mut().refresh(replica);
+            let mut status = self.setup.status.borrow_mut();
+            let before = (status.leader.clone(), status.term);
+            status.refresh(replica);
+            let leader = status.leader.as_deref().unwrap_or_default();
+            if before.0 != status.leader {
+                let group = self.setup.group.to_string();
+                log::info!(event = "leader", group = group.as_str(), leader = leader, term = status.term, term_before = before.1; "the leader changed, as this replica knows it");
+            }
         }
     }
 
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -227,6 +227,17 @@
         /// The node; empty for none.
         owner: String,
     },
+    /// Something else that a component tells.
+    Note {
+        /// `error`, `warn`, `info` or `debug`.
+        level: String,
+        /// What happened, as a name.
+        name: String,
+        /// Its inputs, as `name=value`.
+        inputs: Vec<String>,
+        /// In words.
+        message: String,
+    },
     /// Lines were dropped, as more came than the log takes.
     Dropped {
         /// Steps of requests.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,7 @@
 //! dropped, least important class first, and counted.
 
 pub mod event;
+pub mod explain;
 pub mod writer;
 
 pub use event::{Event, EventClass};
--- a/crates/decisions/src/writer.rs
+++ b/crates/decisions/src/writer.rs
@@ -69,6 +69,7 @@
     second: u64,
     steps_in_second: u32,
     closed: bool,
+    ended: bool,
 }
 
 struct Shared {
@@ -143,14 +144,21 @@
         queue.map_or(LogCounts::default(), |queue| queue.counts)
     }
 
-    /// Ends the writer once it has written what waits.
-    pub fn close(&self) {
-        if let Some(shared) = &self.shared {
-            if let Ok(mut queue) = shared.queue.lock() {
-                queue.closed = true;
-            }
-            shared.wake.notify_one();
-        }
+    /// Ends the writer and waits, for `longest` at most, until it has written what
+    /// was taken.
+    pub fn close(&self, longest: Duration) {
+        let Some(shared) = &self.shared else {
+            return;
+        };
+        let Ok(mut queue) = shared.queue.lock() else {
+            return;
+        };
+        queue.closed = true;
+        shared.wake.notify_all();
+        let waited = shared
+            .wake
+            .wait_timeout_while(queue, longest, |queue| !queue.ended);
+        drop(waited);
     }
 }
 
@@ -211,6 +219,10 @@
 fn write_all(shared: &Shared, mut output: impl Write) {
     loop {
         let Some(lines) = next_lines(shared) else {
+            if let Ok(mut queue) = shared.queue.lock() {
+                queue.ended = true;
+            }
+            shared.wake.notify_all();
             return;
         };
         let mut bytes = Vec::with_capacity(lines.len() * 200);
@@ -222,7 +234,17 @@
         // An output that is gone takes the lines with it.
         let _ = output.write_all(&bytes);
         let _ = output.flush();
-        thread::sleep(GATHER);
+        gather(shared);
+    }
+}
+
+/// Lets lines gather, unless the log is closed.
+fn gather(shared: &Shared) {
+    if let Ok(queue) = shared.queue.lock() {
+        let waited = shared
+            .wake
+            .wait_timeout_while(queue, GATHER, |queue| !queue.closed);
+        drop(waited);
     }
 }
 
