--- a/crates/decisions/src/explain.rs
+++ b/crates/decisions/src/explain.rs
@@ -67,7 +67,12 @@
             .iter()
             .filter(|line| is_about(&line.event, id))
             .collect();
-        let lost_by = path.iter().copied().find(|line| loses(&line.event));
+        // A request that was served in the end was lost by nothing on its way.
+        let is_served = path.iter().any(|line| serves(&line.event));
+        let lost_by = path
+            .iter()
+            .copied()
+            .find(|line| !is_served && loses(&line.event));
         let is_arrival =
             |line: &&Line| matches!(line.event, Event::Admitted { .. } | Event::Refused { .. });
         let is_end = |line: &&Line| {
@@ -124,6 +129,11 @@
     }
 }
 
+/// Whether an event is a whole answer of success.
+fn serves(event: &Event) -> bool {
+    matches!(event, Event::Answered { end, status, .. } if end == "whole" && *status < 400)
+}
+
 /// One line for people: time from `start_ms`, node, event and its inputs.
 pub fn describe(line: &Line, start_ms: u64) -> String {
     let mut fields = match serde_json::to_value(&line.event) {
--- a/crates/decisions/tests/explain.rs
+++ b/crates/decisions/tests/explain.rs
@@ -98,7 +98,10 @@
         .collect();
     assert_eq!(nodes, ["n1", "n2", "n1", "n1"]);
     let text = describe(explanation.path[1], 1_000);
-    assert!(text.contains("10 ms") && text.contains("batch_sent"), "{text}");
+    assert!(
+        text.contains("10 ms") && text.contains("batch_sent"),
+        "{text}"
+    );
     assert!(text.contains("waiting=9"), "{text}");
 }
 
@@ -119,6 +122,21 @@
     assert_eq!(explanation.has_end, has_end);
 }
 
+#[test]
+fn a_request_that_is_served_in_the_end_is_lost_by_nothing() {
+    let mut lines = logs();
+    let answered = Event::Answered {
+        request: "r2".into(),
+        backend: "e2".into(),
+        status: 200,
+        head_ms: 80,
+        total_ms: 90,
+        end: "whole".into(),
+    };
+    lines.read(&line(1_490, "n1", answered));
+    assert_eq!(lines.request("r2").lost_by, None);
+}
+
 #[test]
 fn gaps_are_told() {
     let mut lines = logs();
@@ -160,13 +178,18 @@
             .filter(|name| name.chars().all(char::is_alphanumeric));
         if let Some(name) = variant.filter(|name| name.starts_with(char::is_uppercase)) {
             event = snake_case(name);
-            assert!(page.contains(&format!("| `{event}`")), "{event} is not on the page");
+            assert!(
+                page.contains(&format!("| `{event}`")),
+                "{event} is not on the page"
+            );
         }
         let field = text
             .split_once(':')
             .filter(|(name, kind)| !event.is_empty() && kind.ends_with(',') && is_field(name));
         if let Some((field, _)) = field {
-            let row = page.lines().find(|row| row.starts_with(&format!("| `{event}`")));
+            let row = page
+                .lines()
+                .find(|row| row.starts_with(&format!("| `{event}`")));
             let is_named = row.is_some_and(|row| row.contains(&format!("`{field}`")));
             assert!(is_named, "{event}: {field} is not on the page");
         }
