Pass over a batching node that is cut off from here

Change: a batching node says at once that an order came (with the waits, which makes admission fresher); one that owes an answer is asked after 450 ms and passed over after 900 ms without a sign, for 2.5 s. Tests: daemon/tests/owners.rs.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use crate::gateway::calls::GatewayCalls;
 use crate::gateway::event::{Decision, GatewayEvent, SurfaceReply, SurfaceRequest};
-use crate::gateway::owners::batch_owner;
+use crate::gateway::owners::{batch_owner, OwnerStep, OwnerWatch};
 use crate::gateway::works::Works;
 use crate::metrics::Metrics;
 use crate::outbox::SharedOutbox;
@@ -66,6 +66,7 @@
     works: Works,
     decisions: BTreeMap<RequestNumber, mpsc::UnboundedSender<Decision>>,
     owners: BTreeMap<String, NodeName>,
+    owner_watch: OwnerWatch,
     traffic_version: Option<u64>,
     view_version: ViewVersion,
     list_works: bool,
@@ -95,6 +96,7 @@
             works: Works::default(),
             decisions: BTreeMap::new(),
             owners: BTreeMap::new(),
+            owner_watch: OwnerWatch::default(),
             traffic_version: None,
             view_version: ViewVersion::default(),
             list_works: true,
@@ -116,11 +118,41 @@
         let late = self.batcher.expire(now);
         self.orders_finished(late, now);
         self.tell_inputs_read(now);
+        self.watch_owners(now);
         self.resubmit(now);
         self.start_batches(now);
         self.free_results();
     }
 
+    /// Passes over batching nodes that owe an answer and give no sign.
+    fn watch_owners(&mut self, now: Millis) {
+        let mut changed = self.owner_watch.expire(now);
+        for (owner, (work, since)) in self.works.owing() {
+            if owner == self.node {
+                continue;
+            }
+            match self.owner_watch.look(&owner, since, now) {
+                OwnerStep::Wait => {}
+                OwnerStep::Ask => {
+                    if let Some(phase) = self.works.phase_of(work, now) {
+                        self.send_work(&owner, WorkMessage::Submit { work, phase });
+                    }
+                }
+                OwnerStep::PassOver => {
+                    changed = true;
+                    self.setup.log.record(LogEvent::Dependency {
+                        name: format!("batching node {owner}"),
+                        works: false,
+                        detail: format!("owes an answer for {} ms", now.saturating_sub(since)),
+                    });
+                }
+            }
+        }
+        if changed {
+            self.refresh_owners(now);
+        }
+    }
+
     fn tell_inputs_read(&mut self, now: Millis) {
         for OrderKey { node, work } in self.batcher.inputs_read(now) {
             if node == self.node {
@@ -169,9 +201,7 @@
             }
             GatewayEvent::Listed(listed) => {
                 self.list_state(true, "");
-                if self.dispatcher.instances.replace(listed) {
-                    self.refresh_owners();
-                }
+                self.dispatcher.instances.replace(listed);
             }
             GatewayEvent::ListFailed(why) => self.list_state(false, &why),
             GatewayEvent::Surface { request, reply } => self.surface(cx, request, reply, now),
@@ -329,10 +359,16 @@
     /// Work that another node hands to this one, or an answer to work of its own.
     pub fn work(&mut self, cx: CX![], from: NodeName, message: WorkMessage) {
         let now = self.now(cx);
+        self.owner_watch.heard(&from, now);
         match message {
             WorkMessage::Submit { work, phase } => {
+                let waits = self
+                    .batcher
+                    .waits(&phase.service, &self.dispatcher.instances);
+                self.send_work(&from, WorkMessage::Accepted { work, waits });
                 self.take_order(OrderKey { node: from, work }, phase, now);
             }
+            WorkMessage::Accepted { waits, .. } => self.dispatcher.set_waits(waits, now),
             WorkMessage::Done {
                 work,
                 result,
@@ -395,7 +431,10 @@
             return;
         }
         let live = self.live_nodes();
-        let due = self.works.due(now, |owner| live.contains(owner));
+        let watch = &self.owner_watch;
+        let is_reached =
+            |owner: &NodeName| live.contains(owner) && !watch.is_passed_over(owner, now);
+        let due = self.works.due(now, is_reached);
         for work in due {
             let owners = &self.owners;
             let own = &self.node;
@@ -444,13 +483,13 @@
     /// Configuration, view or machine states changed.
     pub fn node_state_changed(&mut self, cx: CX![]) {
         let now = self.now(cx);
-        self.follow_traffic();
-        self.follow_view();
+        self.follow_traffic(now);
+        self.follow_view(now);
         self.resubmit(now);
         self.start_batches(now);
     }
 
-    fn follow_traffic(&mut self) {
+    fn follow_traffic(&mut self, now: Millis) {
         let traffic = self.setup.state.borrow().traffic.clone();
         let Some(traffic) = traffic else {
             return;
@@ -472,10 +511,10 @@
         self.batcher.set_specs(specs);
         let limits = traffic.traffic.limits.clone();
         self.setup.calls.set_limits(limits);
-        self.refresh_owners();
+        self.refresh_owners(now);
     }
 
-    fn follow_view(&mut self) {
+    fn follow_view(&mut self, now: Millis) {
         let (version, names) = {
             let state = self.setup.state.borrow();
             if state.view.version == self.view_version {
@@ -491,10 +530,10 @@
             version: format!("{}.{}", version.term, version.sequence),
             nodes: names,
         });
-        self.refresh_owners();
+        self.refresh_owners(now);
     }
 
-    fn refresh_owners(&mut self) {
+    fn refresh_owners(&mut self, now: Millis) {
         let state = self.setup.state.borrow();
         let Some(traffic) = &state.traffic else {
             return;
@@ -503,7 +542,8 @@
             if service.batch.is_none() {
                 continue;
             }
-            let owner = batch_owner(&state.view, &service.name, &self.node);
+            let is_passed_over = |node: &NodeName| self.owner_watch.is_passed_over(node, now);
+            let owner = batch_owner(&state.view, &service.name, &self.node, is_passed_over);
             let former = self.owners.insert(service.name.clone(), owner.clone());
             if former.as_ref() != Some(&owner) {
                 self.setup.log.record(LogEvent::BatchOwner {
--- a/crates/daemon/src/gateway/owners.rs
+++ b/crates/daemon/src/gateway/owners.rs
@@ -2,20 +2,101 @@
 //! hash, so that every node with the same view names the same, and only the
 //! services of a node that leaves move.
 
+use silversail_consensus::Millis;
 use silversail_control::ClusterView;
 use silversail_model::NodeName;
 use silversail_serving::selection::rank;
 use std::collections::hash_map::DefaultHasher;
+use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 
-/// The node that batches `service` by `view`; `own` where the view names none.
-pub fn batch_owner(view: &ClusterView, service: &str, own: &NodeName) -> NodeName {
+/// A batching node that owes an answer and gave no sign for so long is asked, in
+/// milliseconds; it answers at once.
+const ASK_AFTER: Millis = 450;
+/// One that was asked and gave no sign is passed over after this silence; much
+/// shorter than a lease in the view.
+const SILENT_AFTER: Millis = 900;
+/// How long it is passed over, in milliseconds.
+const PASSED_OVER_FOR: Millis = 2_500;
+
+/// The node that batches `service` by `view`, `is_excluded` ones left out; `own`
+/// where none remains.
+pub fn batch_owner(
+    view: &ClusterView,
+    service: &str,
+    own: &NodeName,
+    is_excluded: impl Fn(&NodeName) -> bool,
+) -> NodeName {
     let mut hasher = DefaultHasher::new();
     service.hash(&mut hasher);
     let key = hasher.finish();
     let nodes = view.usable_nodes().map(|status| &status.node);
     nodes
+        .filter(|node| !is_excluded(node))
         .max_by_key(|node| rank(key, node.as_str()))
         .unwrap_or(own)
         .clone()
 }
+
+/// What to do about a batching node that owes an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnerStep {
+    /// Nothing.
+    Wait,
+    /// Give it its oldest order again: it answers.
+    Ask,
+    /// Pass it over.
+    PassOver,
+}
+
+/// Which batching nodes give signs: one that is cut off from here may stand in the
+/// view for long.
+#[derive(Default)]
+pub struct OwnerWatch {
+    heard_at: BTreeMap<NodeName, Millis>,
+    asked_at: BTreeMap<NodeName, Millis>,
+    passed_over_until: BTreeMap<NodeName, Millis>,
+}
+
+impl OwnerWatch {
+    /// A message of a node came.
+    pub fn heard(&mut self, node: &NodeName, now: Millis) {
+        self.heard_at.insert(node.clone(), now);
+        self.passed_over_until.remove(node);
+    }
+
+    /// Whether a node is passed over.
+    pub fn is_passed_over(&self, node: &NodeName, now: Millis) -> bool {
+        let until = self.passed_over_until.get(node);
+        until.is_some_and(|until| *until > now)
+    }
+
+    /// Looks at a node that owes an answer since `owed_since`.
+    pub fn look(&mut self, node: &NodeName, owed_since: Millis, now: Millis) -> OwnerStep {
+        let heard_at = self.heard_at.get(node).copied().unwrap_or_default();
+        let quiet_since = heard_at.max(owed_since);
+        let silence = now.saturating_sub(quiet_since);
+        if self.is_passed_over(node, now) || silence < ASK_AFTER {
+            return OwnerStep::Wait;
+        }
+        let asked_at = self.asked_at.get(node).copied().unwrap_or_default();
+        if asked_at < quiet_since {
+            self.asked_at.insert(node.clone(), now);
+            return OwnerStep::Ask;
+        }
+        if silence < SILENT_AFTER {
+            return OwnerStep::Wait;
+        }
+        let until = now + PASSED_OVER_FOR;
+        self.passed_over_until.insert(node.clone(), until);
+        OwnerStep::PassOver
+    }
+
+    /// Ends the times of those that were passed over long enough. True when there
+    /// were any.
+    pub fn expire(&mut self, now: Millis) -> bool {
+        let before = self.passed_over_until.len();
+        self.passed_over_until.retain(|_, until| *until > now);
+        self.passed_over_until.len() != before
+    }
+}
--- a/crates/daemon/src/gateway/works.rs
+++ b/crates/daemon/src/gateway/works.rs
@@ -5,8 +5,9 @@
 use silversail_peer::{PhaseWork, WorkId};
 use std::collections::BTreeMap;
 
-/// An order that is not answered for so long is given again, in milliseconds.
-const RESUBMIT_AFTER: Millis = 1_200;
+/// An order that is not answered for so long is given again, in milliseconds: its
+/// answer may be lost.
+const RESUBMIT_AFTER: Millis = 1_500;
 
 struct Submitted {
     owner: NodeName,
@@ -43,6 +44,27 @@
         self.submitted.is_empty()
     }
 
+    /// Nodes that owe answers, each with the order that it owes longest and since
+    /// when.
+    pub fn owing(&self) -> BTreeMap<NodeName, (WorkId, Millis)> {
+        let mut owing: BTreeMap<NodeName, (WorkId, Millis)> = BTreeMap::new();
+        for (work, one) in &self.submitted {
+            let oldest = owing.entry(one.owner.clone()).or_insert((*work, one.at));
+            if one.at < oldest.1 {
+                *oldest = (*work, one.at);
+            }
+        }
+        owing
+    }
+
+    /// The phase of an order, as it is to be given again at `now`.
+    pub fn phase_of(&self, work: WorkId, now: Millis) -> Option<PhaseWork> {
+        let submitted = self.submitted.get(&work)?;
+        let mut phase = submitted.phase.clone();
+        phase.remaining_ms = submitted.end.saturating_sub(now);
+        Some(phase)
+    }
+
     /// Orders to be given again at `now`: those whose owner, by `is_live`, is gone,
     /// and those that were not answered for long.
     pub fn due(&mut self, now: Millis, is_live: impl Fn(&NodeName) -> bool) -> Vec<WorkId> {
--- /dev/null
+++ b/crates/daemon/tests/owners.rs
@@ -0,0 +1,74 @@
+//! Which node batches a service, and what happens when it gives no sign.
+
+use rstest::rstest;
+use silversail_control::{ClusterView, NodeStatus, ViewVersion};
+use silversail_daemon::gateway::owners::{batch_owner, OwnerStep, OwnerWatch};
+use silversail_model::NodeName;
+use std::collections::BTreeMap;
+
+fn view(nodes: usize) -> ClusterView {
+    let status = |number| NodeStatus {
+        node: NodeName(format!("n{number}")),
+        incarnation: 1,
+        zone: "z".into(),
+        caller_address: "127.0.0.1:1".into(),
+        usable: true,
+    };
+    ClusterView {
+        version: ViewVersion::default(),
+        nodes: (0..nodes).map(status).collect(),
+        machines: Vec::new(),
+    }
+}
+
+fn owner(view: &ClusterView, service: &str) -> NodeName {
+    batch_owner(view, service, &"own".into(), |_| false)
+}
+
+#[test]
+fn owners_are_spread_and_only_those_of_a_node_that_left_move() {
+    let before = view(10);
+    let mut after = before.clone();
+    after.nodes.remove(3);
+    let mut counts: BTreeMap<NodeName, usize> = BTreeMap::new();
+    for service in (0..200).map(|number| format!("s{number}")) {
+        let known = owner(&before, &service);
+        let moved = owner(&after, &service);
+        assert!(known == moved || known == "n3".into());
+        *counts.entry(known).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 10);
+    assert!(counts.values().all(|count| *count < 50), "{counts:?}");
+}
+
+#[test]
+fn without_a_usable_node_a_node_batches_for_itself() {
+    assert_eq!(owner(&view(0), "s"), "own".into());
+    let passed_over = batch_owner(&view(2), "s", &"own".into(), |_| true);
+    assert_eq!(passed_over, "own".into());
+}
+
+#[test]
+fn a_silent_owner_is_asked_first_and_then_passed_over_for_a_while() {
+    let (mut watch, node) = (OwnerWatch::default(), NodeName::from("n1"));
+    assert_eq!(watch.look(&node, 1_000, 1_400), OwnerStep::Wait);
+    assert_eq!(watch.look(&node, 1_000, 1_460), OwnerStep::Ask);
+    assert_eq!(watch.look(&node, 1_000, 1_500), OwnerStep::Wait);
+    assert_eq!(watch.look(&node, 1_000, 1_900), OwnerStep::PassOver);
+    assert!(watch.is_passed_over(&node, 2_000));
+    assert!(!watch.expire(2_000));
+    assert!(watch.expire(4_400));
+    assert!(!watch.is_passed_over(&node, 4_400));
+}
+
+#[rstest]
+#[case(1_470)]
+#[case(1_899)]
+fn a_sign_clears_an_owner_that_only_takes_long(#[case] answered_at: u64) {
+    let (mut watch, node) = (OwnerWatch::default(), NodeName::from("n1"));
+    assert_eq!(watch.look(&node, 1_000, 1_460), OwnerStep::Ask);
+    watch.heard(&node, answered_at);
+    assert_eq!(watch.look(&node, 1_000, 1_900), OwnerStep::Wait);
+    // It is asked again before it is passed over.
+    assert_eq!(watch.look(&node, 1_000, 2_400), OwnerStep::Ask);
+}
--- a/crates/peer/src/work.rs
+++ b/crates/peer/src/work.rs
@@ -90,6 +90,13 @@
         /// The work.
         phase: PhaseWork,
     },
+    /// Tells that a submission came, or came again: the order waits or is at work.
+    Accepted {
+        /// The order.
+        work: WorkId,
+        /// How long the service takes now.
+        waits: ServiceWaits,
+    },
     /// Answers a submission: the results in the order of the pieces.
     Done {
         /// The order.
