One node reads the list of back ends for all

Change: the leader of the control group reads; its relay numbers each change (term, count) and tells relays and nodes at once, and that a read found no change; a node that does not know of a read within 2 s reads itself, with growing waits after failures. Tests: simulation/tests/listing.rs (known within a heartbeat, stale without reads, a new leader's replaces the former one's, a cut relay is not trusted).

--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -20,9 +20,11 @@
 use silversail_decisions::DecisionLog;
 use silversail_ledger::LedgerState;
 use silversail_model::NodeName;
-use silversail_peer::{Envelope, GroupId, GroupMessage, PeerMessage, SessionMessage};
+use silversail_peer::{
+    Envelope, GroupId, GroupMessage, ListedInstance, PeerMessage, SessionMessage,
+};
 use silversail_serving::ports::Protocols;
-use stakker::{actor, call, fwd, fwd_do, fwd_nop, fwd_to, ret_nop, ActorOwn, Fwd, Stakker};
+use stakker::{actor, call, fwd, fwd_do, fwd_nop, fwd_to, ret_nop, Actor, ActorOwn, Fwd, Stakker};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -134,6 +136,10 @@
             PeerMessage::Session(SessionMessage::PushTraffic(traffic)) => {
                 call!([self.session], push_traffic(traffic));
             }
+            PeerMessage::Session(SessionMessage::Listing(listing)) => {
+                call!([self.session], push_listing(listing.clone()));
+                self.deliver_to_relay(from, SessionMessage::Listing(listing));
+            }
             PeerMessage::Session(message) => self.deliver_to_relay(from, message),
             PeerMessage::Discovery(message) => call!([self.discovery], message(from, message)),
             PeerMessage::Work(message) => {
@@ -156,6 +162,10 @@
                 call!([voter.relay], reports(from, reports, view));
             }
             SessionMessage::View(view) => call!([voter.relay], view(view)),
+            SessionMessage::Listing(listing) => call!([voter.relay], listing(listing)),
+            SessionMessage::ListingConfirmed(version) => {
+                call!([voter.relay], listing_confirmed(version));
+            }
             SessionMessage::Reply(_) | SessionMessage::Push(_) | SessionMessage::PushTraffic(_) => {
             }
         }
@@ -207,6 +217,13 @@
         Some(machine.configuration.history().cloned().collect())
     }
 
+    /// This node read the list of back ends; on the leader all nodes hear of it.
+    pub fn list_read(&self, entries: Vec<ListedInstance>) {
+        if let Some(voter) = &self.voter {
+            call!([voter.relay], list_read(entries));
+        }
+    }
+
     /// What hands leadership over, by group.
     pub fn hand_overs(&self) -> Vec<Fwd<()>> {
         let Some(voter) = &self.voter else {
@@ -250,7 +267,8 @@
             .map(|part| self.proposer(GroupId::Ledger(part)))
             .collect();
         let requests = self.requests(&ledger_proposers);
-        let gateway = self.gateway(&control_proposer);
+        let relay = voter.as_ref().map(|voter| (*voter.relay).clone());
+        let gateway = self.gateway(&control_proposer, relay);
         let session = self.session(requests.as_ref(), gateway.as_ref());
         let orders = voter
             .as_ref()
@@ -372,7 +390,12 @@
         Some(actor!(self.stakker, RequestActor::init(setup), ret_nop!()))
     }
 
-    fn gateway(&mut self, proposer: &ActorOwn<ProposerActor>) -> Option<ActorOwn<GatewayActor>> {
+    fn gateway(
+        &mut self,
+        proposer: &ActorOwn<ProposerActor>,
+        relay: Option<Actor<RelayActor>>,
+    ) -> Option<ActorOwn<GatewayActor>> {
+        let control = self.status_of(GroupId::Control);
         let ports = self.platform.gateway()?;
         let context = &self.context;
         let setup = GatewaySetup {
@@ -381,6 +404,8 @@
             state: context.state.clone(),
             outbox: context.outbox.clone(),
             proposer: (**proposer).clone(),
+            relay,
+            control,
             protocols: ports.protocols,
             calls: ports.calls,
             log: context.log.clone(),
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -7,14 +7,16 @@
 use crate::gateway::works::Works;
 use crate::metrics::Metrics;
 use crate::outbox::SharedOutbox;
-use crate::replica::{ProposalOutcome, ProposerActor};
-use crate::session::SharedNodeState;
+use crate::replica::{ProposalOutcome, ProposerActor, SharedStatus};
+use crate::session::{RelayActor, SharedNodeState};
 use crate::settings::GatewaySettings;
 use silversail_consensus::Millis;
 use silversail_control::{ControlCommand, PublishedTraffic, ViewVersion};
 use silversail_decisions::{DecisionLog, Event as LogEvent};
 use silversail_model::{NodeName, ResultCode};
-use silversail_peer::{PeerMessage, PhaseWork, PieceFailure, ResultHandle, WorkId, WorkMessage};
+use silversail_peer::{
+    ListingVersion, PeerMessage, PhaseWork, PieceFailure, ResultHandle, WorkId, WorkMessage,
+};
 use silversail_serving::batcher::{Batcher, FinishedOrder, OrderKey};
 use silversail_serving::dispatcher::{Action, Dispatcher, RequestNumber};
 use silversail_serving::ports::Protocols;
@@ -30,6 +32,8 @@
 const BUSY_TICK: Duration = Duration::from_millis(25);
 /// Interval while there is none.
 const IDLE_TICK: Duration = Duration::from_millis(250);
+/// For how long a node relies on the leader's read of the list, in milliseconds.
+const LISTING_LEASE: Millis = 2_000;
 /// Longest wait for a publication to be committed.
 const PUBLISH_TIMEOUT: Duration = Duration::from_millis(3_500);
 
@@ -45,6 +49,10 @@
     pub outbox: SharedOutbox,
     /// Proposes to the control group.
     pub proposer: Actor<ProposerActor>,
+    /// Tells all nodes the list of back ends; none on a node that is no relay.
+    pub relay: Option<Actor<RelayActor>>,
+    /// Status of the control group's replica.
+    pub control: SharedStatus,
     /// The outside protocols.
     pub protocols: Protocols,
     /// Calls to back ends.
@@ -69,6 +77,7 @@
     owner_watch: OwnerWatch,
     traffic_version: Option<u64>,
     view_version: ViewVersion,
+    listing_version: Option<ListingVersion>,
     list_works: bool,
 }
 
@@ -99,6 +108,7 @@
             owner_watch: OwnerWatch::default(),
             traffic_version: None,
             view_version: ViewVersion::default(),
+            listing_version: None,
             list_works: true,
             setup,
         })
@@ -117,6 +127,7 @@
         self.carry_out(expired, now);
         let late = self.batcher.expire(now);
         self.orders_finished(late, now);
+        self.choose_list_reader(now);
         self.tell_inputs_read(now);
         self.watch_owners(now);
         self.resubmit(now);
@@ -124,6 +135,15 @@
         self.free_results();
     }
 
+    /// The leader reads the list of back ends for all; others only while they do not
+    /// know that it lately did.
+    fn choose_list_reader(&mut self, now: Millis) {
+        let leads = self.setup.control.borrow().is_leader;
+        let state = self.setup.state.borrow();
+        let reads = leads || !state.has_current_listing(now, LISTING_LEASE);
+        self.setup.calls.set_list_reader(reads);
+    }
+
     /// Passes over batching nodes that owe an answer and give no sign.
     fn watch_owners(&mut self, now: Millis) {
         let mut changed = self.owner_watch.expire(now);
@@ -201,6 +221,9 @@
             }
             GatewayEvent::Listed(listed) => {
                 self.list_state(true, "");
+                if let Some(relay) = &self.setup.relay {
+                    call!([relay], list_read(listed.clone()));
+                }
                 self.dispatcher.instances.replace(listed);
             }
             GatewayEvent::ListFailed(why) => self.list_state(false, &why),
@@ -485,6 +508,7 @@
         let now = self.now(cx);
         self.follow_traffic(now);
         self.follow_view(now);
+        self.follow_listing();
         self.resubmit(now);
         self.start_batches(now);
     }
@@ -514,6 +538,15 @@
         self.refresh_owners(now);
     }
 
+    fn follow_listing(&mut self) {
+        let listing = self.setup.state.borrow().listing.clone();
+        let Some(listing) = listing.filter(|one| Some(one.version) > self.listing_version) else {
+            return;
+        };
+        self.listing_version = Some(listing.version);
+        self.dispatcher.instances.replace(listing.entries.clone());
+    }
+
     fn follow_view(&mut self, now: Millis) {
         let (version, names) = {
             let state = self.setup.state.borrow();
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -25,11 +25,14 @@
 /// Largest answer to such a call, in bytes.
 const MAX_ANSWER: usize = 4 << 20;
 /// Shortest time between two reads of the list by one node.
-const LIST_INTERVAL: Duration = Duration::from_millis(900);
-/// Wait after a read of the list failed.
-const LIST_RETRY: Duration = Duration::from_millis(300);
-/// Processes that may read the list, for the share of its rate that each uses.
-const LIST_READERS: f64 = 24.0;
+const LIST_INTERVAL: Duration = Duration::from_millis(700);
+/// Wait after a read of the list failed; each further failure doubles it, as the
+/// list takes few calls from all nodes together.
+const LIST_RETRY: Duration = Duration::from_millis(250);
+/// Most doublings of it.
+const MAX_DOUBLINGS: u32 = 3;
+/// Largest share by which such a wait is lengthened by lot.
+const SPREAD: f64 = 0.3;
 
 /// Calls to back ends, whose ends are told as events.
 pub trait GatewayCalls {
@@ -41,6 +44,9 @@
 
     /// Takes other limits on callers.
     fn set_limits(&self, limits: CallerLimits);
+
+    /// Tells whether this node reads the list of back ends.
+    fn set_list_reader(&self, reads: bool);
 }
 
 /// What an answered call gave.
@@ -77,6 +83,8 @@
     pub events: EventSender,
     /// Where limits on callers go.
     pub limits: Arc<watch::Sender<Option<CallerLimits>>>,
+    /// Whether this node reads the list of back ends.
+    pub reads_list: Arc<watch::Sender<bool>>,
 }
 
 impl GatewayCalls for RuntimeCalls {
@@ -101,6 +109,14 @@
     fn set_limits(&self, limits: CallerLimits) {
         self.limits.send_replace(Some(limits));
     }
+
+    fn set_list_reader(&self, reads: bool) {
+        self.reads_list.send_if_modified(|known| {
+            let is_news = *known != reads;
+            *known = reads;
+            is_news
+        });
+    }
 }
 
 impl RuntimeCalls {
@@ -174,27 +190,32 @@
         })
     }
 
-    /// Reads the list of back ends for ever.
+    /// Reads the list of back ends for ever, while this node is its reader.
     pub async fn follow_list(self, settings: GatewaySettings) {
-        let share = settings.backend_list_rate / LIST_READERS;
-        let interval = LIST_INTERVAL.max(Duration::from_secs_f64(1.0 / share.max(0.05)));
+        let interval = Duration::from_secs_f64(1.0 / settings.backend_list_rate.max(0.1));
+        let interval = LIST_INTERVAL.max(interval);
+        let mut reads_list = self.reads_list.subscribe();
+        let mut failures = 0;
         loop {
+            self.pool.trim();
+            if reads_list.wait_for(|reads| *reads).await.is_err() {
+                return;
+            }
             let wait = match self.read_list(&settings.backend_list).await {
                 Ok(listed) => {
-                    let addresses: std::collections::BTreeSet<String> =
-                        listed.iter().map(|one| one.address.clone()).collect();
-                    self.pool.trim(|address| {
-                        address == settings.backend_list || addresses.contains(address)
-                    });
+                    failures = 0;
                     self.tell(GatewayEvent::Listed(listed));
                     interval
                 }
                 Err(why) => {
+                    failures += 1;
                     self.tell(GatewayEvent::ListFailed(why));
-                    LIST_RETRY
+                    LIST_RETRY * (1 << (failures - 1).min(MAX_DOUBLINGS))
                 }
             };
-            tokio::time::sleep(wait).await;
+            // Many nodes that lost the leader at once do not read at once for long.
+            let spread = rand::random::<f64>() * SPREAD;
+            tokio::time::sleep(wait.mul_f64(1.0 + spread)).await;
         }
     }
 
--- a/crates/daemon/src/session/node_state.rs
+++ b/crates/daemon/src/session/node_state.rs
@@ -5,6 +5,7 @@
 use silversail_control::view::merge_machine;
 use silversail_control::{AppliedConfiguration, ClusterView, MachineState, SharedTraffic};
 use silversail_model::{NodeName, TrafficVersion};
+use silversail_peer::SharedListing;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -16,6 +17,10 @@
     pub configuration: AppliedConfiguration,
     /// Traffic configuration in force; none before the first.
     pub traffic: Option<SharedTraffic>,
+    /// The list of back ends as the leader read it; none before the first.
+    pub listing: Option<SharedListing>,
+    /// When the leader is known to have read the same list, at the latest.
+    pub listing_confirmed_at: Option<Millis>,
     /// Newest view.
     pub view: ClusterView,
     /// How current the configuration is known to be.
@@ -38,6 +43,23 @@
             && self.freshness.age(now).is_some_and(|age| age <= lease)
     }
 
+    /// Takes a listing that is newer; true when it is.
+    pub fn take_listing(&mut self, listing: SharedListing, now: Millis) -> bool {
+        let known = self.listing.as_ref().map(|known| known.version);
+        if known >= Some(listing.version) {
+            return false;
+        }
+        self.listing = Some(listing);
+        self.listing_confirmed_at = Some(now);
+        true
+    }
+
+    /// Whether the leader is known to have read the held list within `lease`.
+    pub fn has_current_listing(&self, now: Millis, lease: Millis) -> bool {
+        let confirmed_at = self.listing_confirmed_at;
+        confirmed_at.is_some_and(|at| now.saturating_sub(at) <= lease)
+    }
+
     /// Version of the traffic configuration in force.
     pub fn traffic_version(&self) -> Option<TrafficVersion> {
         self.traffic.as_ref().map(|traffic| traffic.version())
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -8,11 +8,15 @@
 use silversail_consensus::Millis;
 use silversail_control::{ClusterView, ControlState, MembershipTable, NodeReport, ViewVersion};
 use silversail_model::{NodeName, Revision, TrafficVersion};
-use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply};
+use silversail_peer::{
+    ListedInstance, Listing, ListingVersion, PeerMessage, SessionHeartbeat, SessionMessage,
+    SessionReply, SharedListing,
+};
 use stakker::{after, CX};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Interval of reports to the leader and of views to the relays.
@@ -20,6 +24,10 @@
 /// A session without a heartbeat for so long gets no pushes, in milliseconds.
 const SESSION_SILENCE: Millis = 5_000;
 
+/// A leader sends an unchanged listing whole once in so many reads, for relays that
+/// missed it.
+const READS_PER_WHOLE_LISTING: u32 = 10;
+
 /// What a relay is made of.
 pub struct RelaySetup {
     /// Knows the other relays.
@@ -36,6 +44,12 @@
     pub clock: Clock,
 }
 
+/// The newest listing and when the leader last read the same.
+struct HeldListing {
+    listing: SharedListing,
+    confirmed_at: Millis,
+}
+
 struct Session {
     revision: Option<Revision>,
     traffic: Option<TrafficVersion>,
@@ -50,6 +64,9 @@
     view: ClusterView,
     table: Option<(u64, MembershipTable)>,
     sent_version: ViewVersion,
+    listing: Option<HeldListing>,
+    /// Reads of the list since it was last sent whole.
+    unchanged_reads: u32,
 }
 
 impl RelayActor {
@@ -63,6 +80,8 @@
             view: ClusterView::default(),
             table: None,
             sent_version: ViewVersion::default(),
+            listing: None,
+            unchanged_reads: 0,
         })
     }
 
@@ -187,6 +206,16 @@
             traffic_version: control.published.as_ref().map(|one| one.version()),
             traffic: newer.cloned(),
             view: newer_view.then(|| self.view.clone()),
+            listing_age: self.listing.as_ref().map(|held| {
+                let age = now.saturating_sub(held.confirmed_at);
+                (held.listing.version, age)
+            }),
+            listing: self
+                .listing
+                .as_ref()
+                .map(|held| &held.listing)
+                .filter(|listing| Some(listing.version) > heartbeat.listing)
+                .cloned(),
         }
     }
 
@@ -218,6 +247,85 @@
         }
     }
 
+    /// This node read the list of back ends; on the leader that is news for all.
+    pub fn list_read(&mut self, cx: CX![], entries: Vec<ListedInstance>) {
+        let now = self.now(cx);
+        let Some((term, _)) = self.table else {
+            return;
+        };
+        let held = self
+            .listing
+            .as_mut()
+            .filter(|held| held.listing.entries == entries && held.listing.version.term == term);
+        if let Some(held) = held {
+            held.confirmed_at = now;
+            self.unchanged_reads += 1;
+            let message = match self.unchanged_reads.is_multiple_of(READS_PER_WHOLE_LISTING) {
+                true => SessionMessage::Listing(held.listing.clone()),
+                false => SessionMessage::ListingConfirmed(held.listing.version),
+            };
+            self.tell_relays(message);
+            return;
+        }
+        let former = self.listing.as_ref().map(|held| held.listing.version);
+        let version = ListingVersion {
+            term,
+            sequence: former.map_or(0, |former| former.sequence) + 1,
+        };
+        let listing = Arc::new(Listing { version, entries });
+        self.unchanged_reads = 0;
+        self.tell_relays(SessionMessage::Listing(listing.clone()));
+        self.take_listing(listing, now);
+    }
+
+    fn tell_relays(&self, message: SessionMessage) {
+        let mut outbox = self.setup.outbox.borrow_mut();
+        let own = outbox.node().clone();
+        let relays = self.setup.directory.borrow().replicating();
+        for relay in relays.iter().filter(|relay| **relay != own) {
+            outbox.send(relay, PeerMessage::Session(message.clone()));
+        }
+    }
+
+    /// The leader's listing.
+    pub fn listing(&mut self, cx: CX![], listing: SharedListing) {
+        let now = self.now(cx);
+        self.take_listing(listing, now);
+    }
+
+    /// Takes a listing that is not older, and tells it to the nodes if it is newer.
+    fn take_listing(&mut self, listing: SharedListing, now: Millis) {
+        let known = self.listing.as_ref().map(|held| held.listing.version);
+        if known > Some(listing.version) {
+            return;
+        }
+        let is_new = known < Some(listing.version);
+        self.listing = Some(HeldListing {
+            listing: listing.clone(),
+            confirmed_at: now,
+        });
+        if !is_new {
+            return;
+        }
+        let mut outbox = self.setup.outbox.borrow_mut();
+        for (node, session) in &self.sessions {
+            if now.saturating_sub(session.heard_at) <= SESSION_SILENCE {
+                let message = SessionMessage::Listing(listing.clone());
+                outbox.send(node, PeerMessage::Session(message));
+            }
+        }
+    }
+
+    /// The leader read the list again and found it unchanged.
+    pub fn listing_confirmed(&mut self, cx: CX![], version: ListingVersion) {
+        let now = self.now(cx);
+        if let Some(held) = &mut self.listing {
+            if held.listing.version == version {
+                held.confirmed_at = now;
+            }
+        }
+    }
+
     /// The replicated configuration may have changed: nodes get it at once.
     pub fn configuration_applied(&mut self, cx: CX![]) {
         let now = self.now(cx);
--- a/crates/daemon/src/session/session_actor.rs
+++ b/crates/daemon/src/session/session_actor.rs
@@ -10,7 +10,7 @@
 use silversail_consensus::Millis;
 use silversail_control::{ConfigurationUpdate, MachineState, NodeReport, SharedTraffic};
 use silversail_model::NodeName;
-use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply};
+use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply, SharedListing};
 use stakker::{after, fwd, Fwd, CX};
 use std::sync::Arc;
 use std::time::Duration;
@@ -124,6 +124,7 @@
                     machines: state.machines_unknown_to_view(),
                 },
                 view: state.view.version,
+                listing: state.listing.as_ref().map(|listing| listing.version),
             })
         };
         self.setup
@@ -166,8 +167,18 @@
         if let Some(traffic) = reply.traffic {
             changed |= self.apply_traffic(traffic);
         }
+        let now = self.setup.clock.millis(cx.now());
         {
             let mut state = self.setup.state.borrow_mut();
+            if let Some(listing) = reply.listing {
+                changed |= state.take_listing(listing, now);
+            }
+            let held = state.listing.as_ref().map(|listing| listing.version);
+            if let Some((version, age)) = reply.listing_age {
+                if held == Some(version) {
+                    state.listing_confirmed_at = Some(reply.echo.saturating_sub(age));
+                }
+            }
             if state.configuration.revision() >= Some(reply.revision)
                 && state.traffic_version() >= reply.traffic_version
             {
@@ -204,6 +215,14 @@
         }
     }
 
+    /// A list of back ends that the relay pushed.
+    pub fn push_listing(&mut self, cx: CX![], listing: SharedListing) {
+        let now = self.setup.clock.millis(cx.now());
+        if self.setup.state.borrow_mut().take_listing(listing, now) {
+            fwd!([self.setup.on_change], ());
+        }
+    }
+
     fn apply_traffic(&mut self, traffic: SharedTraffic) -> bool {
         let mut state = self.setup.state.borrow_mut();
         let held = state.traffic_version();
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -178,13 +178,12 @@
         })
     }
 
-    /// Closes idle connections that are too old, and those to addresses that
-    /// `is_known` does not name.
-    pub fn trim(&self, is_known: impl Fn(&str) -> bool) {
+    /// Closes idle connections that are too old.
+    pub fn trim(&self) {
         if let Ok(mut idle) = self.shared.idle.lock() {
-            idle.retain(|address, kept| {
+            idle.retain(|_, kept| {
                 kept.retain(Connection::is_usable);
-                !kept.is_empty() && is_known(address)
+                !kept.is_empty()
             });
         }
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -2,12 +2,14 @@
 
 pub mod discovery;
 pub mod errors;
+pub mod listing;
 pub mod message;
 pub mod transport;
 pub mod work;
 
 pub use discovery::{Contact, DiscoveryMessage, HeardContact};
 pub use errors::PeerError;
+pub use listing::{ListedInstance, Listing, ListingVersion, SharedListing};
 pub use message::{
     Envelope, FormationMessage, GroupId, GroupMessage, PeerMessage, ProposeResult,
     SessionHeartbeat, SessionMessage, SessionReply,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,6 +1,7 @@
 //! What silversail processes tell each other.
 
 use crate::discovery::DiscoveryMessage;
+use crate::listing::{ListingVersion, SharedListing};
 use crate::work::WorkMessage;
 use serde::{Deserialize, Serialize};
 use silversail_consensus::{JoinRequest, Message, Millis, ReplicaId, Snapshot};
@@ -135,6 +136,8 @@
     pub report: NodeReport,
     /// Version of the view that it has.
     pub view: ViewVersion,
+    /// Version of the listing that it has.
+    pub listing: Option<ListingVersion>,
 }
 
 /// A relay's answer to a heartbeat.
@@ -157,6 +160,11 @@
     pub traffic: Option<SharedTraffic>,
     /// A newer view than the node's.
     pub view: Option<ClusterView>,
+    /// Version of the relay's listing, and how long ago the leader last read the
+    /// same, in milliseconds.
+    pub listing_age: Option<(ListingVersion, Millis)>,
+    /// The relay's listing, where the node's is older.
+    pub listing: Option<SharedListing>,
 }
 
 /// Messages of sessions.
@@ -170,6 +178,11 @@
     Push(ConfigurationUpdate),
     /// Relay to node, at once when the traffic configuration changes.
     PushTraffic(SharedTraffic),
+    /// Leader to relays, and relay to node, at once when the list of back ends
+    /// changes.
+    Listing(SharedListing),
+    /// Leader to relays: it read the list again, and it is unchanged.
+    ListingConfirmed(ListingVersion),
     /// Relay to leader: the heartbeats of its nodes since the last one.
     Reports {
         /// The heartbeats.
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -3,6 +3,7 @@
 
 use http::{HeaderMap, Method, Uri};
 use silversail_model::TrafficConfiguration;
+pub use silversail_peer::ListedInstance;
 use silversail_peer::{Piece, PieceFailure, ResultHandle};
 use std::time::Duration;
 
@@ -138,23 +139,6 @@
     fn maker_address<'a>(&self, handle: &'a ResultHandle) -> &'a str;
 }
 
-/// A back end on the list.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ListedInstance {
-    /// Identity of this start of the back end.
-    pub id: String,
-    /// Its service.
-    pub service: String,
-    /// IP address and port.
-    pub address: String,
-    /// Its zone.
-    pub zone: String,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    /// Whether it is leaving.
-    pub draining: bool,
-}
-
 /// A page of the list.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListPage {
--- /dev/null
+++ b/crates/simulation/tests/listing.rs
@@ -0,0 +1,125 @@
+//! One node reads the list of back ends for all, and all know how old it is.
+
+use silversail_model::NodeName;
+use silversail_peer::{GroupId, ListedInstance};
+use silversail_simulation::world::{Knowledge, World, WorldSize};
+
+const SIZE: WorldSize = WorldSize {
+    nodes: 9,
+    voters: 3,
+    zones: 3,
+    is_hollow: true,
+    knowledge: Knowledge::Contacts([0, 1, 5]),
+};
+/// How long nodes rely on what the leader read, in milliseconds.
+const LEASE: u64 = 2_000;
+
+fn entry(draining: bool) -> ListedInstance {
+    ListedInstance {
+        id: "i-1".into(),
+        service: "s".into(),
+        address: "127.0.0.1:9".into(),
+        zone: "z".into(),
+        slots: 4,
+        draining,
+    }
+}
+
+/// The leader reads the list each half second for a while.
+fn read(world: &mut World, entries: &[ListedInstance], times: usize) {
+    for _ in 0..times {
+        let leader = world.leader(GroupId::Control).expect("a leader");
+        let node = world.places[leader].node.as_ref().expect("runs");
+        node.actors.list_read(entries.to_vec());
+        world.wake(leader);
+        world.run_for(500);
+    }
+}
+
+/// Whether a node knows of a draining back end, and whether it knows that to be
+/// what the leader lately read.
+fn knows(world: &World, position: usize) -> (Option<bool>, bool) {
+    let node = world.places[position].node.as_ref().expect("runs");
+    let now = node.clock.millis(world.instant());
+    let state = node.state.borrow();
+    let listing = state.listing.as_ref();
+    let draining = listing.and_then(|listing| listing.entries.first());
+    (
+        draining.map(|entry| entry.draining),
+        state.has_current_listing(now, LEASE),
+    )
+}
+
+#[test]
+fn what_the_leader_reads_is_known_everywhere_and_goes_stale_without_it() {
+    for seed in 0..8 {
+        let mut world = World::new(seed, SIZE);
+        world.run_for(4_000);
+        read(&mut world, &[entry(false)], 3);
+        for node in 0..SIZE.nodes {
+            assert_eq!(
+                knows(&world, node),
+                (Some(false), true),
+                "node {node}, seed {seed}"
+            );
+        }
+        // A mark reaches all within a heartbeat of the read.
+        read(&mut world, &[entry(true)], 1);
+        for node in 0..SIZE.nodes {
+            assert_eq!(
+                knows(&world, node).0,
+                Some(true),
+                "node {node}, seed {seed}"
+            );
+        }
+        // Nobody reads any more: all know that what they hold is old.
+        world.run_for(LEASE + 1_500);
+        for node in 0..SIZE.nodes {
+            assert_eq!(
+                knows(&world, node),
+                (Some(true), false),
+                "node {node}, seed {seed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_new_leaders_read_replaces_the_former_ones() {
+    for seed in 0..8 {
+        let mut world = World::new(seed, SIZE);
+        world.run_for(4_000);
+        read(&mut world, &[entry(true)], 3);
+        let former = world.leader(GroupId::Control).expect("a leader");
+        world.crash(former);
+        world.run_for(4_000);
+        read(&mut world, &[entry(false)], 3);
+        for node in (0..SIZE.nodes).filter(|node| *node != former) {
+            assert_eq!(
+                knows(&world, node),
+                (Some(false), true),
+                "node {node}, seed {seed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_node_whose_relay_is_cut_off_from_the_leader_does_not_trust_its_listing() {
+    let mut world = World::new(3, SIZE);
+    world.run_for(4_000);
+    read(&mut world, &[entry(false)], 3);
+    let leader = world.leader(GroupId::Control).expect("a leader");
+    let names: Vec<NodeName> = world.places.iter().map(|one| one.name.clone()).collect();
+    // The leader is cut off from all but itself.
+    for other in (0..SIZE.nodes).filter(|other| *other != leader) {
+        let mut network = world.network.borrow_mut();
+        let links = &mut network.faults.cut_links;
+        links.insert((names[leader].clone(), names[other].clone()));
+        links.insert((names[other].clone(), names[leader].clone()));
+    }
+    world.run_for(LEASE + 1_500);
+    for node in (0..SIZE.nodes).filter(|node| *node != leader) {
+        assert!(!knows(&world, node).1, "node {node}");
+    }
+}
