--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -18,7 +18,9 @@
     ListingVersion, PeerMessage, PhaseWork, PieceFailure, ResultHandle, WorkId, WorkMessage,
 };
 use silversail_serving::batcher::{Batcher, FinishedOrder, OrderKey};
-use silversail_serving::dispatcher::{Action, Dispatcher, RequestNumber};
+use silversail_serving::dispatcher::{
+    Action, Dispatcher, NotRunReason, RequestNumber, SendOutcome, UnknownReason,
+};
 use silversail_serving::ports::Protocols;
 use silversail_serving::retry_budget::RetryLimits;
 use silversail_serving::routes::RouteTable;
@@ -37,6 +39,9 @@
 /// Longest wait for a publication to be committed.
 const PUBLISH_TIMEOUT: Duration = Duration::from_millis(3_500);
 
+/// Label of the gateway's requests beside those of pipelines.
+const GATEWAY: &str = "gateway";
+
 /// What the gateway is made of.
 pub struct GatewaySetup {
     /// Settings.
@@ -65,6 +70,12 @@
     pub clock: Clock,
 }
 
+/// A request whose task waits for decisions.
+struct OpenRequest {
+    decisions: mpsc::UnboundedSender<Decision>,
+    arrived_at: Millis,
+}
+
 /// Decides for the gateway.
 pub struct GatewayActor {
     setup: GatewaySetup,
@@ -72,7 +83,7 @@
     dispatcher: Dispatcher,
     batcher: Batcher,
     works: Works,
-    decisions: BTreeMap<RequestNumber, mpsc::UnboundedSender<Decision>>,
+    open: BTreeMap<RequestNumber, OpenRequest>,
     owners: BTreeMap<String, NodeName>,
     owner_watch: OwnerWatch,
     traffic_version: Option<u64>,
@@ -103,7 +114,7 @@
             dispatcher: Dispatcher::new(&setup.zone, limits, first_work, log.clone()),
             batcher: Batcher::new(log),
             works: Works::default(),
-            decisions: BTreeMap::new(),
+            open: BTreeMap::new(),
             owners: BTreeMap::new(),
             owner_watch: OwnerWatch::default(),
             traffic_version: None,
@@ -207,13 +218,16 @@
                 load,
             } => {
                 let actions = self.dispatcher.send_ended(number, outcome, load, now);
+                self.count_send(outcome, &actions);
                 self.carry_out(actions, now);
-                self.forget_ended(number);
+                if !self.dispatcher.is_open(number) {
+                    self.close(number, outcome_label(outcome), now);
+                }
             }
             GatewayEvent::CallerGone { number } => {
                 let actions = self.dispatcher.caller_gone(number, now);
                 self.carry_out(actions, now);
-                self.decisions.remove(&number);
+                self.close(number, "caller_gone", now);
             }
             GatewayEvent::BatchEnded { call, outcome } => {
                 let finished = self.batcher.call_ended(call, outcome, now);
@@ -233,7 +247,9 @@
         self.free_results();
         // Orders of other nodes count too: a stop must not leave them behind.
         let open = self.dispatcher.open_requests() + self.batcher.sizes().0;
-        self.setup.metrics.gateway_requests.set(open as i64);
+        let metrics = &self.setup.metrics;
+        metrics.gateway_requests.set(open as i64);
+        metrics.take_log_counts(&self.setup.log.counts());
     }
 
     fn list_state(&mut self, works: bool, detail: &str) {
@@ -254,7 +270,11 @@
         decisions: mpsc::UnboundedSender<Decision>,
         now: Millis,
     ) {
-        self.decisions.insert(number, decisions);
+        let open = OpenRequest {
+            decisions,
+            arrived_at: now,
+        };
+        self.open.insert(number, open);
         let actions = if self.setup.state.borrow().refusing {
             self.dispatcher.refuse(number, &call, ResultCode::Stopping)
         } else {
@@ -263,9 +283,28 @@
         self.carry_out(actions, now);
     }
 
-    fn forget_ended(&mut self, number: RequestNumber) {
-        if !self.dispatcher.is_open(number) {
-            self.decisions.remove(&number);
+    /// Counts a send that failed, and whether it is followed by another.
+    fn count_send(&self, outcome: SendOutcome, actions: &[Action]) {
+        let is_retried = actions
+            .iter()
+            .any(|action| matches!(action, Action::Send { .. }));
+        let label = outcome_label(outcome);
+        let metrics = &self.setup.metrics;
+        metrics.gateway_sends.with_label_values(&[label]).inc();
+        if is_retried {
+            metrics.retries.with_label_values(&[label]).inc();
+        }
+    }
+
+    /// A request ended: its time is counted by how.
+    fn close(&mut self, number: RequestNumber, outcome: &str, now: Millis) {
+        if let Some(open) = self.open.remove(&number) {
+            let seconds = now.saturating_sub(open.arrived_at) as f64 / 1_000.0;
+            self.setup
+                .metrics
+                .request_seconds
+                .with_label_values(&[GATEWAY, outcome])
+                .observe(seconds);
         }
     }
 
@@ -280,7 +319,7 @@
                         .with_label_values(&[reason])
                         .inc();
                     self.decide(number, Decision::Answer(refusal));
-                    self.decisions.remove(&number);
+                    self.close(number, reason, now);
                 }
                 Action::Send { number, plan } => self.decide(number, Decision::Send(plan.into())),
                 Action::Submit {
@@ -295,9 +334,9 @@
     }
 
     fn decide(&mut self, number: RequestNumber, decision: Decision) {
-        if let Some(decisions) = self.decisions.get(&number) {
+        if let Some(open) = self.open.get(&number) {
             // A task that is gone has told so.
-            let _ = decisions.send(decision);
+            let _ = open.decisions.send(decision);
         }
     }
 
@@ -481,6 +520,8 @@
     fn start_batches(&mut self, now: Millis) {
         let calls = self.batcher.next_calls(&self.dispatcher.instances, now);
         for call in calls {
+            let pieces = call.pieces.len() as f64;
+            self.setup.metrics.batch_pieces.observe(pieces);
             let protocol = &self.setup.protocols.batches;
             let request = protocol.run_call(&call.instance, &call.pieces);
             self.setup.calls.run_batch(call, request);
@@ -677,3 +718,20 @@
         }
     }
 }
+
+/// Label of what came of a send.
+fn outcome_label(outcome: SendOutcome) -> &'static str {
+    match outcome {
+        SendOutcome::Delivered { is_whole: true, .. } => "whole",
+        SendOutcome::Delivered { .. } => "broken_midway",
+        SendOutcome::NotRun(NotRunReason::Unreachable) => "unreachable",
+        SendOutcome::NotRun(NotRunReason::Full) => "full",
+        SendOutcome::NotRun(NotRunReason::Misplaced) => "misplaced",
+        SendOutcome::NotRun(NotRunReason::InputsGone) => "inputs_gone",
+        SendOutcome::NotRun(NotRunReason::Refused) => "refused",
+        SendOutcome::Unknown(UnknownReason::Broken) => "broken",
+        SendOutcome::Unknown(UnknownReason::Garbled) => "garbled",
+        SendOutcome::Unknown(UnknownReason::Deadline) => "deadline",
+        SendOutcome::Failed { .. } => "failed",
+    }
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,9 +1,10 @@
 //! Counters and histograms of one process.
 
 use prometheus::{
-    CounterVec, Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    CounterVec, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
+use silversail_decisions::LogCounts;
 
 /// All metrics; the names are part of the operators' surface.
 pub struct Metrics {
@@ -30,6 +31,12 @@
     pub open_requests: IntGauge,
     /// Pass-through requests under way.
     pub gateway_requests: IntGauge,
+    /// Sends of pass-through requests by what came of them.
+    pub gateway_sends: IntCounterVec,
+    /// Pieces in each batch call.
+    pub batch_pieces: Histogram,
+    /// Decision lines taken and dropped, by class.
+    pub decision_lines: IntGaugeVec,
     /// Stages waiting for a back end.
     pub queued_stages: IntGauge,
     /// Configuration revision in force.
@@ -46,6 +53,7 @@
     pub proposals: IntCounterVec,
 }
 
+const BATCH_BUCKETS: &[f64] = &[1.0, 2.0, 4.0, 8.0, 12.0, 16.0, 24.0, 32.0, 48.0];
 const LATENCY_BUCKETS: &[f64] = &[
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 1.5, 2.0, 5.0,
 ];
@@ -81,6 +89,25 @@
         registry
             .register(Box::new(stage_cost.clone()))
             .expect(VALID);
+        let batch_pieces = Histogram::with_opts(
+            HistogramOpts::new("silversail_batch_pieces", "Pieces in a batch call")
+                .buckets(BATCH_BUCKETS.to_vec()),
+        )
+        .expect(VALID);
+        registry
+            .register(Box::new(batch_pieces.clone()))
+            .expect(VALID);
+        let decision_lines = IntGaugeVec::new(
+            Opts::new(
+                "silversail_decision_lines",
+                "Decision lines since the start",
+            ),
+            &["fate"],
+        )
+        .expect(VALID);
+        registry
+            .register(Box::new(decision_lines.clone()))
+            .expect(VALID);
         let leads = IntGaugeVec::new(
             Opts::new("silversail_leads", "1 where this process leads the group"),
             &["group"],
@@ -118,6 +145,13 @@
             stage_cost,
             tokens: counter("silversail_tokens_total", "Tokens generated", &["model"]),
             open_requests: gauge("silversail_open_requests", "Requests under way"),
+            gateway_sends: counter(
+                "silversail_gateway_sends_total",
+                "Sends of pass-through requests",
+                &["outcome"],
+            ),
+            batch_pieces,
+            decision_lines,
             gateway_requests: gauge(
                 "silversail_gateway_open_requests",
                 "Pass-through requests under way",
@@ -149,6 +183,19 @@
         }
     }
 
+    /// Takes over how many decision lines were taken and dropped.
+    pub fn take_log_counts(&self, counts: &LogCounts) {
+        for (fate, count) in [
+            ("taken", counts.taken),
+            ("dropped_steps", counts.dropped_steps),
+            ("dropped_failures", counts.dropped_failures),
+            ("dropped_beliefs", counts.dropped_beliefs),
+        ] {
+            let gauge = self.decision_lines.with_label_values(&[fate]);
+            gauge.set(count as i64);
+        }
+    }
+
     /// All metrics in the text format.
     pub fn render(&self) -> Vec<u8> {
         let mut buffer = Vec::new();
