--- /dev/null
+++ b/crates/daemon/src/gateway/answers.rs
@@ -0,0 +1,107 @@
+//! The actor's answers to the operator, the platform and callers who ask for
+//! addresses.
+
+use crate::gateway::actor::GatewayActor;
+use crate::gateway::event::{SurfaceReply, SurfaceRequest};
+use crate::replica::ProposalOutcome;
+use silversail_consensus::Millis;
+use silversail_control::{ControlCommand, PublishedTraffic};
+use silversail_model::ResultCode;
+use stakker::{call, ret_some_to, CX};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Longest wait for a publication to be committed.
+const PUBLISH_TIMEOUT: Duration = Duration::from_millis(3_500);
+
+impl GatewayActor {
+    pub(super) fn surface(
+        &mut self,
+        cx: CX![],
+        request: SurfaceRequest,
+        reply: oneshot::Sender<SurfaceReply>,
+        now: Millis,
+    ) {
+        let answer = match request {
+            SurfaceRequest::Publish(published) => {
+                self.publish(cx, *published, reply);
+                return;
+            }
+            SurfaceRequest::ReadTraffic => self.read_traffic(now),
+            SurfaceRequest::Readiness => self.readiness(),
+            SurfaceRequest::EntryPoints { zone } => self.entry_points(zone.as_deref()),
+        };
+        // Whoever asked may have left.
+        let _ = reply.send(answer);
+    }
+
+    pub(super) fn publish(
+        &mut self,
+        cx: CX![],
+        published: PublishedTraffic,
+        reply: oneshot::Sender<SurfaceReply>,
+    ) {
+        let command = ControlCommand::Publish(published).encode();
+        let ret = ret_some_to!([cx], publication_ended(reply) as (ProposalOutcome));
+        call!(
+            [self.setup.proposer],
+            propose(command, PUBLISH_TIMEOUT, ret)
+        );
+    }
+
+    pub(super) fn publication_ended(
+        &mut self,
+        _: CX![],
+        reply: oneshot::Sender<SurfaceReply>,
+        outcome: ProposalOutcome,
+    ) {
+        let published = match outcome {
+            ProposalOutcome::Applied(bytes) => postcard::from_bytes(&bytes).ok(),
+            ProposalOutcome::Unavailable => None,
+        };
+        let answer = match published {
+            Some(published) => SurfaceReply::Published(published),
+            None => SurfaceReply::Unavailable(ResultCode::NoLeader),
+        };
+        let _ = reply.send(answer);
+    }
+
+    /// The document in force, where the quorum confirmed it lately.
+    pub(super) fn read_traffic(&self, now: Millis) -> SurfaceReply {
+        let state = self.setup.state.borrow();
+        if !state.is_current(now, self.setup.settings.read_staleness_ms) {
+            return SurfaceReply::Unavailable(ResultCode::NotCurrent);
+        }
+        match &state.traffic {
+            Some(traffic) => SurfaceReply::Traffic(traffic.document.clone()),
+            None => SurfaceReply::Unavailable(ResultCode::NoTrafficConfiguration),
+        }
+    }
+
+    pub(super) fn readiness(&self) -> SurfaceReply {
+        let state = self.setup.state.borrow();
+        if state.stopping {
+            return SurfaceReply::Unavailable(ResultCode::Stopping);
+        }
+        match state.traffic {
+            Some(_) => SurfaceReply::Ready,
+            None => SurfaceReply::Unavailable(ResultCode::NoTrafficConfiguration),
+        }
+    }
+
+    /// Addresses of the usable nodes, by the newest view that is known; this
+    /// node's own where none is.
+    pub(super) fn entry_points(&self, _zone: Option<&str>) -> SurfaceReply {
+        let state = self.setup.state.borrow();
+        let nodes = state.view.usable_nodes();
+        let mut addresses: Vec<String> = nodes.map(|one| one.caller_address.clone()).collect();
+        let serves = state.traffic.is_some() && !state.stopping;
+        if addresses.is_empty() && serves {
+            addresses.push(self.setup.settings.callers.clone());
+        }
+        match addresses.is_empty() {
+            true => SurfaceReply::Unavailable(ResultCode::NotCurrent),
+            false => SurfaceReply::EntryPoints(addresses),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/batching.rs
@@ -0,0 +1,268 @@
+//! The actor's part in shared batches: orders that it gives to batching nodes, and
+//! orders that it batches for others.
+
+use crate::gateway::actor::GatewayActor;
+use crate::gateway::owners::OwnerStep;
+use silversail_consensus::Millis;
+use silversail_decisions::Event as LogEvent;
+use silversail_model::NodeName;
+use silversail_peer::{PeerMessage, PhaseWork, PieceFailure, ResultHandle, WorkId, WorkMessage};
+use silversail_serving::batcher::{FinishedOrder, OrderKey};
+use stakker::CX;
+use std::collections::BTreeMap;
+
+impl GatewayActor {
+    /// Passes over batching nodes that owe an answer and give no sign.
+    pub(super) fn watch_owners(&mut self, now: Millis) {
+        let mut changed = self.owner_watch.expire(now);
+        for (owner, (work, since)) in self.works.owing() {
+            if owner == self.node {
+                continue;
+            }
+            match self.owner_watch.look(&owner, since, now) {
+                OwnerStep::Wait => {}
+                OwnerStep::Ask => {
+                    if let Some(phase) = self.works.phase_of(work, now) {
+                        self.send_work(&owner, WorkMessage::Submit { work, phase });
+                    }
+                }
+                OwnerStep::PassOver => {
+                    changed = true;
+                    self.setup.log.record(LogEvent::Dependency {
+                        name: format!("batching node {owner}"),
+                        works: false,
+                        detail: format!("owes an answer for {} ms", now.saturating_sub(since)),
+                    });
+                }
+            }
+        }
+        if changed {
+            self.refresh_owners(now);
+        }
+    }
+
+    pub(super) fn tell_inputs_read(&mut self, now: Millis) {
+        for OrderKey { node, work } in self.batcher.inputs_read(now) {
+            if node == self.node {
+                self.inputs_read(work, now);
+            } else {
+                self.send_work(&node, WorkMessage::InputsRead { work });
+            }
+        }
+    }
+
+    pub(super) fn inputs_read(&mut self, work: WorkId, now: Millis) {
+        let actions = self.dispatcher.inputs_read(work);
+        self.carry_out(actions, now);
+    }
+
+    pub(super) fn owner_of(&self, service: &str) -> NodeName {
+        self.owners.get(service).unwrap_or(&self.node).clone()
+    }
+
+    pub(super) fn submit(&mut self, work: WorkId, request: &str, phase: PhaseWork, now: Millis) {
+        let owner = self.owner_of(&phase.service);
+        let first = phase.pieces.first();
+        self.setup.log.record(LogEvent::PhaseSubmitted {
+            request: request.to_owned(),
+            phase: first.map_or(0, |piece| piece.phase),
+            service: phase.service.clone(),
+            pieces: phase.pieces.len(),
+            owner: owner.0.clone(),
+            remaining_ms: phase.remaining_ms,
+        });
+        self.works
+            .submitted(work, owner.clone(), phase.clone(), now);
+        self.hand_over(work, &owner, phase, now);
+    }
+
+    pub(super) fn hand_over(
+        &mut self,
+        work: WorkId,
+        owner: &NodeName,
+        phase: PhaseWork,
+        now: Millis,
+    ) {
+        if *owner != self.node {
+            self.send_work(owner, WorkMessage::Submit { work, phase });
+            return;
+        }
+        let key = OrderKey {
+            node: self.node.clone(),
+            work,
+        };
+        self.take_order(key, phase, now);
+    }
+
+    pub(super) fn take_order(&mut self, key: OrderKey, phase: PhaseWork, now: Millis) {
+        let table = &self.dispatcher.instances;
+        let service = phase.service.clone();
+        if let Err(failure) = self.batcher.submit(key.clone(), phase, table, now) {
+            let refused = FinishedOrder {
+                key,
+                service,
+                result: Err(failure),
+            };
+            self.orders_finished(vec![refused], now);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, work: WorkId) {
+        let Some(owner) = self.works.ended(work) else {
+            return;
+        };
+        if owner != self.node {
+            self.send_work(&owner, WorkMessage::Cancel { work });
+            return;
+        }
+        let node = self.node.clone();
+        self.batcher.cancel(&OrderKey { node, work });
+    }
+
+    pub(super) fn release(&mut self, service: String, handles: Vec<ResultHandle>) {
+        let owner = self.owner_of(&service);
+        self.release_at(&owner, handles);
+    }
+
+    pub(super) fn release_at(&mut self, owner: &NodeName, handles: Vec<ResultHandle>) {
+        if handles.is_empty() {
+            return;
+        }
+        if *owner == self.node {
+            self.batcher.release(&handles);
+        } else {
+            self.send_work(owner, WorkMessage::Release { handles });
+        }
+    }
+
+    pub(super) fn send_work(&mut self, to: &NodeName, message: WorkMessage) {
+        let mut outbox = self.setup.outbox.borrow_mut();
+        outbox.send(to, PeerMessage::Work(message));
+    }
+
+    /// Work that another node hands to this one, or an answer to work of its own.
+    pub fn work(&mut self, cx: CX![], from: NodeName, message: WorkMessage) {
+        let now = self.now(cx);
+        self.owner_watch.heard(&from, now);
+        match message {
+            WorkMessage::Submit { work, phase } => {
+                let waits = self
+                    .batcher
+                    .waits(&phase.service, &self.dispatcher.instances);
+                self.send_work(&from, WorkMessage::Accepted { work, waits });
+                self.take_order(OrderKey { node: from, work }, phase, now);
+            }
+            WorkMessage::Accepted { waits, .. } => self.dispatcher.set_waits(waits, now),
+            WorkMessage::Done {
+                work,
+                result,
+                waits,
+            } => {
+                self.dispatcher.set_waits(waits, now);
+                self.work_done(&from, work, result, now);
+            }
+            WorkMessage::InputsRead { work } => self.inputs_read(work, now),
+            WorkMessage::Cancel { work } => self.batcher.cancel(&OrderKey { node: from, work }),
+            WorkMessage::Release { handles } => self.batcher.release(&handles),
+        }
+        self.start_batches(now);
+        self.free_results();
+    }
+
+    pub(super) fn work_done(
+        &mut self,
+        owner: &NodeName,
+        work: WorkId,
+        result: Result<Vec<ResultHandle>, PieceFailure>,
+        now: Millis,
+    ) {
+        let is_wanted = self.works.ended(work).is_some() && self.dispatcher.knows_work(work);
+        if !is_wanted {
+            // Cancelled, or given to another node meanwhile.
+            self.release_at(owner, result.unwrap_or_default());
+            return;
+        }
+        let actions = self.dispatcher.phase_done(work, result, now);
+        self.carry_out(actions, now);
+    }
+
+    pub(super) fn orders_finished(&mut self, finished: Vec<FinishedOrder>, now: Millis) {
+        for FinishedOrder {
+            key,
+            service,
+            result,
+        } in finished
+        {
+            let work = key.work;
+            let waits = self.batcher.waits(&service, &self.dispatcher.instances);
+            if key.node == self.node {
+                self.dispatcher.set_waits(waits, now);
+                self.work_done(&key.node, work, result, now);
+                continue;
+            }
+            let done = WorkMessage::Done {
+                work,
+                result,
+                waits,
+            };
+            self.send_work(&key.node, done);
+        }
+    }
+
+    /// Gives orders again whose owner is gone or silent.
+    pub(super) fn resubmit(&mut self, now: Millis) {
+        if self.works.is_empty() {
+            return;
+        }
+        let live = self.live_nodes();
+        let watch = &self.owner_watch;
+        let is_reached =
+            |owner: &NodeName| live.contains(owner) && !watch.is_passed_over(owner, now);
+        let due = self.works.due(now, is_reached);
+        for work in due {
+            let owners = &self.owners;
+            let own = &self.node;
+            let owner_of = |service: &str| owners.get(service).unwrap_or(own).clone();
+            let Some((former, owner, phase)) = self.works.renew(work, owner_of, now) else {
+                continue;
+            };
+            if former != owner && former != self.node {
+                self.send_work(&former, WorkMessage::Cancel { work });
+            }
+            self.hand_over(work, &owner, phase, now);
+        }
+    }
+
+    pub(super) fn live_nodes(&self) -> Vec<NodeName> {
+        let state = self.setup.state.borrow();
+        let nodes = state.view.nodes.iter().map(|status| status.node.clone());
+        nodes.chain([self.node.clone()]).collect()
+    }
+
+    pub(super) fn start_batches(&mut self, now: Millis) {
+        let calls = self.batcher.next_calls(&self.dispatcher.instances, now);
+        for call in calls {
+            let pieces = call.pieces.len() as f64;
+            self.setup.metrics.batch_pieces.observe(pieces);
+            let protocol = &self.setup.protocols.batches;
+            let request = protocol.run_call(&call.instance, &call.pieces);
+            self.setup.calls.run_batch(call, request);
+        }
+    }
+
+    pub(super) fn free_results(&mut self) {
+        let mut by_maker: BTreeMap<String, Vec<ResultHandle>> = BTreeMap::new();
+        for handle in self.batcher.take_releases() {
+            let address = self.setup.protocols.batches.maker_address(&handle);
+            by_maker.entry(address.to_owned()).or_default().push(handle);
+        }
+        for (address, handles) in by_maker {
+            // An address that has another back end now must not be asked.
+            if self.dispatcher.instances.at_address(&address).is_none() {
+                continue;
+            }
+            let request = self.setup.protocols.batches.free_call(&handles);
+            self.setup.calls.free(address, request);
+        }
+    }
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,10 +5,13 @@
 //! task and do not pass the actor's thread.
 
 pub mod actor;
+mod answers;
+mod batching;
 pub mod callers;
 pub mod calls;
 pub mod event;
 pub mod exchange;
+mod following;
 pub mod owners;
 pub mod runtime;
 pub mod surface;
--- a/crates/daemon/src/replica/actor.rs
+++ b/crates/daemon/src/replica/actor.rs
@@ -4,16 +4,15 @@
 use crate::clock::Clock;
 use crate::directory::SharedDirectory;
 use crate::outbox::SharedOutbox;
-use crate::replica::formation::{Formation, FormationStep};
+use crate::replica::formation::Formation;
 use crate::replica::log_writer::LogWriter;
 use crate::replica::status::SharedStatus;
 use silversail_consensus::{
-    next_membership, without_silent, ConsensusConfig, Entry, HardState, Index, JoinRequest,
-    Membership, Message, Millis, Payload, Replica, ReplicaId, Role, Snapshot, SnapshotMeta,
-    StateMachine, StoredState, Term, WriteBatch,
+    ConsensusConfig, Entry, HardState, Index, JoinRequest, Message, Millis, Payload, Replica,
+    ReplicaId, Snapshot, StateMachine, StoredState, Term, WriteBatch,
 };
 use silversail_model::NodeName;
-use silversail_peer::{FormationMessage, GroupId, GroupMessage, PeerMessage, ProposeResult};
+use silversail_peer::{GroupId, GroupMessage, PeerMessage, ProposeResult};
 use stakker::{after, fwd, Fwd, CX};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
@@ -24,18 +23,6 @@
 const TICK: Duration = Duration::from_millis(30);
 /// Ticks between probes and join requests.
 const TICKS_PER_PROBE: u64 = 8;
-/// A join request that is not repeated is forgotten after this time, in
-/// milliseconds.
-const JOIN_VALID_FOR: Millis = 2_000;
-/// A new leader waits so many rounds for join requests before it takes a learner
-/// for gone: about five seconds.
-const ROUNDS_BEFORE_DROP: u64 = 20;
-/// A new leader waits so many rounds, about as long as a silence, before it takes a
-/// voter that it has not heard for gone.
-const ROUNDS_BEFORE_REMOVAL: u64 = 12;
-/// Silence after which a voter gives its place to a new node that is ready, in
-/// milliseconds.
-const VOTER_SILENCE: Millis = 2_500;
 /// Least applied entries after which a snapshot replaces the log.
 const COMPACT_AFTER_ENTRIES: usize = 2_000;
 /// A snapshot of so many bytes is worth one more entry of the log, so that a
@@ -74,44 +61,44 @@
     pub clock: Clock,
 }
 
-enum State {
+pub(super) enum State {
     Forming(Formation),
     Member(Box<Replica>),
 }
 
-struct PendingProposal {
+pub(super) struct PendingProposal {
     term: Term,
     from: NodeName,
     proposal: u64,
 }
 
 /// Messages that wait for a write, and whether the write is the replica's.
-struct PendingSync {
-    messages: Vec<Message>,
-    of_replica: bool,
+pub(super) struct PendingSync {
+    pub(super) messages: Vec<Message>,
+    pub(super) of_replica: bool,
 }
 
 /// A join request and when it was last heard; a replica repeats it until it
 /// votes.
-struct HeardJoin {
-    request: JoinRequest,
-    heard_at: Millis,
+pub(super) struct HeardJoin {
+    pub(super) request: JoinRequest,
+    pub(super) heard_at: Millis,
 }
 
 /// Drives one replica.
 pub struct ReplicaActor<M> {
-    setup: ReplicaSetup<M>,
-    state: State,
-    pending_sync: VecDeque<PendingSync>,
-    proposals: BTreeMap<Index, PendingProposal>,
-    joins: BTreeMap<String, HeardJoin>,
+    pub(super) setup: ReplicaSetup<M>,
+    pub(super) state: State,
+    pub(super) pending_sync: VecDeque<PendingSync>,
+    pub(super) proposals: BTreeMap<Index, PendingProposal>,
+    pub(super) joins: BTreeMap<String, HeardJoin>,
     /// Rounds of membership changes since this replica began to lead.
-    rounds_as_leader: u64,
-    ticks: u64,
-    applied_since_compaction: usize,
-    compact_after: usize,
+    pub(super) rounds_as_leader: u64,
+    pub(super) ticks: u64,
+    pub(super) applied_since_compaction: usize,
+    pub(super) compact_after: usize,
     /// Node of each replica, as seen on messages and in memberships.
-    nodes: BTreeMap<ReplicaId, NodeName>,
+    pub(super) nodes: BTreeMap<ReplicaId, NodeName>,
 }
 
 impl<M: StateMachine + 'static> ReplicaActor<M> {
@@ -146,7 +133,7 @@
         Some(actor)
     }
 
-    fn tick(&mut self, cx: CX![]) {
+    pub(super) fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
         let now = self.now(cx);
         self.ticks += 1;
@@ -160,7 +147,7 @@
         self.carry_out();
     }
 
-    fn now(&self, cx: CX![]) -> Millis {
+    pub(super) fn now(&self, cx: CX![]) -> Millis {
         self.setup.clock.millis(cx.now())
     }
 
@@ -207,7 +194,7 @@
         self.carry_out();
     }
 
-    fn consensus_message(
+    pub(super) fn consensus_message(
         &mut self,
         from: NodeName,
         cluster_id: u64,
@@ -225,97 +212,9 @@
         replica.step(message, now);
     }
 
-    fn formation_message(&mut self, from: NodeName, message: FormationMessage, now: Millis) {
-        match message {
-            FormationMessage::Probe { replica } => self.answer_probe(from, replica),
-            FormationMessage::ProbeReply { replica, formed } => {
-                self.probe_answered(from, replica, formed, now)
-            }
-            FormationMessage::Form(snapshot) => {
-                let State::Forming(formation) = &self.state else {
-                    return;
-                };
-                let step = formation.step_towards(snapshot);
-                self.formation_step(step, now);
-            }
-            FormationMessage::Join(join) => {
-                let heard = HeardJoin {
-                    request: join,
-                    heard_at: now,
-                };
-                self.joins.insert(heard.request.node.clone(), heard);
-            }
-        }
-    }
-
-    fn answer_probe(&mut self, from: NodeName, prober: ReplicaId) {
-        let formed = match &self.state {
-            State::Forming(_) => None,
-            State::Member(replica) => {
-                let stored = replica.snapshot();
-                // The first state is given out whole to its own voters only.
-                let is_voter = stored.meta.membership.is_voter(prober);
-                Some(Snapshot {
-                    meta: stored.meta.clone(),
-                    data: if is_voter {
-                        stored.data.clone()
-                    } else {
-                        Vec::new()
-                    },
-                })
-            }
-        };
-        let replica = self.setup.replica;
-        let reply = FormationMessage::ProbeReply { replica, formed };
-        self.send_group(&from, GroupMessage::Formation(reply));
-    }
-
-    fn probe_answered(
-        &mut self,
-        from: NodeName,
-        replica: ReplicaId,
-        formed: Option<Snapshot>,
-        now: Millis,
-    ) {
-        let State::Forming(formation) = &mut self.state else {
-            return;
-        };
-        let machine = self.setup.machine.clone();
-        let first_data = || machine.borrow().snapshot();
-        let step = formation.on_reply(from, replica, formed, first_data, &mut rand::thread_rng());
-        self.formation_step(step, now);
-    }
-
-    fn formation_step(&mut self, step: FormationStep, now: Millis) {
-        match step {
-            FormationStep::Wait => {}
-            FormationStep::Form(_) if !self.setup.directory.borrow().may_form(now) => {}
-            FormationStep::Form(snapshot) => {
-                self.become_member(snapshot.clone(), now);
-                let form = GroupMessage::Formation(FormationMessage::Form(snapshot));
-                for voter in self.replicating() {
-                    if voter != self.setup.node {
-                        self.send_group(&voter, form.clone());
-                    }
-                }
-            }
-            FormationStep::Adopt(snapshot) => self.become_member(snapshot, now),
-            FormationStep::Join(cluster_id) => {
-                let snapshot = Snapshot {
-                    meta: SnapshotMeta {
-                        cluster_id,
-                        ..SnapshotMeta::default()
-                    },
-                    data: self.setup.machine.borrow().snapshot(),
-                };
-                self.become_member(snapshot, now);
-            }
-        }
-    }
-
     /// Stores the state to start from; every message of the replica leaves
     /// after it is synced, as writes are synced in order.
-    fn become_member(&mut self, snapshot: Snapshot, now: Millis) {
+    pub(super) fn become_member(&mut self, snapshot: Snapshot, now: Millis) {
         let group = self.setup.group.to_string();
         log::info!(event = "member", group = group.as_str(), index = snapshot.meta.index; "replica starts");
         let hard_state = HardState {
@@ -343,112 +242,11 @@
         self.state = State::Member(Box::new(new_replica(&self.setup, stored, now)));
     }
 
-    fn replicating(&self) -> Vec<NodeName> {
+    pub(super) fn replicating(&self) -> Vec<NodeName> {
         self.setup.directory.borrow().replicating()
     }
 
-    fn probe_or_join(&mut self, now: Millis) {
-        let replicating = self.replicating();
-        match &mut self.state {
-            State::Forming(formation) => {
-                formation.start_round(replicating);
-                let targets: Vec<NodeName> = formation.others().cloned().collect();
-                let probe = FormationMessage::Probe {
-                    replica: self.setup.replica,
-                };
-                for target in targets {
-                    self.send_group(&target, GroupMessage::Formation(probe.clone()));
-                }
-                self.form_alone(now);
-            }
-            State::Member(replica) => {
-                // One that was voted out while it was cut off does not know it.
-                let is_followed = replica.leader().is_some();
-                if replica.membership().is_voter(replica.id()) && is_followed {
-                    return;
-                }
-                let join = FormationMessage::Join(JoinRequest {
-                    replica: self.setup.replica,
-                    node: self.setup.node.0.clone(),
-                });
-                for target in self.replicating() {
-                    if target != self.setup.node {
-                        self.send_group(&target, GroupMessage::Formation(join.clone()));
-                    }
-                }
-            }
-        }
-    }
-
-    /// A group of one has nobody to ask.
-    fn form_alone(&mut self, now: Millis) {
-        if self.replicating() == [self.setup.node.clone()] {
-            let own = (self.setup.node.clone(), self.setup.replica);
-            self.probe_answered(own.0, own.1, None, now);
-        }
-    }
-
-    /// On the leader: takes the next single step for a replica that joins.
-    fn change_membership(&mut self, now: Millis) {
-        let State::Member(replica) = &mut self.state else {
-            return;
-        };
-        if replica.role() != Role::Leader {
-            self.joins.clear();
-            self.rounds_as_leader = 0;
-            return;
-        }
-        self.rounds_as_leader += 1;
-        let membership = replica.membership().clone();
-        self.joins.retain(|_, join| {
-            let is_fresh = now.saturating_sub(join.heard_at) < JOIN_VALID_FOR;
-            is_fresh && !membership.is_voter(join.request.replica)
-        });
-        let joining = self.joins.values().map(|join| &join.request);
-        let directory = self.setup.directory.borrow();
-        let is_silent = |node: &str| {
-            let silence = directory.silence_of(node, now);
-            let is_settled = self.rounds_as_leader > ROUNDS_BEFORE_REMOVAL;
-            is_settled
-                && directory.is_discovering()
-                && silence.is_none_or(|silence| silence > VOTER_SILENCE)
-        };
-        let step = joining.clone().find_map(|join| {
-            next_membership(
-                &membership,
-                join,
-                replica.learner_lag(join.replica),
-                is_silent,
-            )
-        });
-        let step = step.or_else(|| without_silent(&membership, replica.id(), is_silent));
-        drop(directory);
-        // A learner that asks no more is a former identity, whose request came
-        // late: it would stay for ever.
-        let is_asking = |learner: &ReplicaId| joining.clone().any(|join| join.replica == *learner);
-        let silent = membership.learners.keys().find(|one| !is_asking(one));
-        let may_drop = self.rounds_as_leader > ROUNDS_BEFORE_DROP;
-        let drop_silent = silent.copied().filter(|_| may_drop).map(|learner| {
-            let mut next = membership.clone();
-            next.learners.remove(&learner);
-            next
-        });
-        if let Some(next) = step.or(drop_silent) {
-            self.propose_membership(next, now);
-        }
-    }
-
-    fn propose_membership(&mut self, next: Membership, now: Millis) {
-        let State::Member(replica) = &mut self.state else {
-            return;
-        };
-        if replica.propose_membership(next.clone(), now).is_ok() {
-            let group = self.setup.group.to_string();
-            log::info!(event = "membership_change", group = group.as_str(), voters = next.voters.len(), learners = next.learners.len(); "membership proposed");
-        }
-    }
-
-    fn propose(&mut self, from: NodeName, proposal: u64, command: Vec<u8>, now: Millis) {
+    pub(super) fn propose(&mut self, from: NodeName, proposal: u64, command: Vec<u8>, now: Millis) {
         let proposed = match &mut self.state {
             State::Forming(_) => Err(None),
             State::Member(replica) => match replica.propose(command, now) {
@@ -472,7 +270,7 @@
         }
     }
 
-    fn node_of(&self, replica: ReplicaId) -> Option<NodeName> {
+    pub(super) fn node_of(&self, replica: ReplicaId) -> Option<NodeName> {
         if let State::Member(own) = &self.state {
             if let Some(node) = own.membership().node_of(replica) {
                 return Some(NodeName::from(node));
@@ -481,17 +279,17 @@
         self.nodes.get(&replica).cloned()
     }
 
-    fn reply(&mut self, to: &NodeName, proposal: u64, result: ProposeResult) {
+    pub(super) fn reply(&mut self, to: &NodeName, proposal: u64, result: ProposeResult) {
         self.send_group(to, GroupMessage::ProposeReply { proposal, result });
     }
 
-    fn send_group(&mut self, to: &NodeName, message: GroupMessage) {
+    pub(super) fn send_group(&mut self, to: &NodeName, message: GroupMessage) {
         let group = self.setup.group;
         let message = PeerMessage::Group { group, message };
         self.setup.outbox.borrow_mut().send(to, message);
     }
 
-    fn send_consensus(&mut self, messages: Vec<Message>) {
+    pub(super) fn send_consensus(&mut self, messages: Vec<Message>) {
         let State::Member(replica) = &self.state else {
             return;
         };
@@ -508,7 +306,7 @@
     }
 
     /// Carries out the replica's output until there is none left.
-    fn carry_out(&mut self) {
+    pub(super) fn carry_out(&mut self) {
         while let State::Member(replica) = &mut self.state {
             if !replica.has_output() {
                 break;
@@ -541,7 +339,7 @@
         }
     }
 
-    fn apply(&mut self, entries: Vec<Entry>) {
+    pub(super) fn apply(&mut self, entries: Vec<Entry>) {
         if entries.is_empty() {
             return;
         }
@@ -568,7 +366,7 @@
         }
     }
 
-    fn compact(&mut self) {
+    pub(super) fn compact(&mut self) {
         self.applied_since_compaction = 0;
         let data = self.setup.machine.borrow().snapshot();
         self.compact_after = COMPACT_AFTER_ENTRIES.max(data.len() / SNAPSHOT_BYTES_PER_ENTRY);
@@ -586,7 +384,7 @@
     }
 }
 
-fn new_replica<M>(setup: &ReplicaSetup<M>, stored: StoredState, now: Millis) -> Replica {
+pub(super) fn new_replica<M>(setup: &ReplicaSetup<M>, stored: StoredState, now: Millis) -> Replica {
     let incarnation = setup.outbox.borrow().incarnation();
     let config = setup.config.clone();
     Replica::new(setup.replica, config, stored, setup.seed, incarnation, now)
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod actor;
 pub mod formation;
+mod joining;
 pub mod log_writer;
+mod membership_changes;
 pub mod proposer;
 pub mod status;
 
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -5,6 +5,7 @@
 //! An idle back end gets what waits at once; while all are busy, pieces gather.
 //! Pieces may be made again, so a batch whose fate is unknown is sent once more.
 
+mod estimate;
 mod order;
 mod room;
 
@@ -16,7 +17,7 @@
 use silversail_decisions::{DecisionLog, Event};
 use silversail_model::traffic::BatchSpec;
 use silversail_model::NodeName;
-use silversail_peer::{PhaseWork, Piece, PieceFailure, ResultHandle, ServiceWaits, WorkId};
+use silversail_peer::{PhaseWork, Piece, PieceFailure, ResultHandle, WorkId};
 use std::collections::BTreeMap;
 
 /// How long a back end that refused a batch gets none, in milliseconds.
@@ -34,10 +35,6 @@
 /// Time after which a call that did not wait has read its inputs, in
 /// milliseconds.
 const INPUTS_READ_AFTER: Millis = 100;
-/// Pieces of a phase for which waits are told.
-const TYPICAL_PIECES: usize = 4;
-/// Least share of a full call that is expected of a service.
-const LEAST_FULLNESS: f64 = 0.2;
 
 /// Identifies an order of work by the node that gave it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -146,70 +143,6 @@
         Ok(())
     }
 
-    /// How long `pieces` more pieces of a service can be expected to take for a
-    /// request of `rank`, in milliseconds: what is at least as urgent goes first.
-    pub fn expected_ms(
-        &self,
-        service: &str,
-        pieces: usize,
-        rank: u8,
-        table: &InstanceTable,
-    ) -> Result<u64, PieceFailure> {
-        let spec = self.specs.get(service).ok_or(PieceFailure::NoBackend)?;
-        let makers = table
-            .of_service(service)
-            .filter(|one| !one.listed.draining)
-            .count();
-        if makers == 0 {
-            return Err(PieceFailure::NoBackend);
-        }
-        let before = self
-            .waiting_of(service)
-            .filter(|order| order.work.priority <= rank);
-        let waiting: usize = before.map(Order::waiting_pieces).sum();
-        let full_call = spec.call_ms + spec.piece_ms * spec.pieces as f64;
-        let own_call = spec.call_ms + spec.piece_ms * pieces as f64;
-        let busy = self.calls.values().filter(|one| one.service == service);
-        let until_free = match busy.count() >= makers {
-            true => full_call / (makers + 1) as f64,
-            false => 0.0,
-        };
-        let pieces_of_call = spec.pieces as f64 * self.fullness_of(service);
-        let call_ms = spec.call_ms + spec.piece_ms * pieces_of_call;
-        let rate = makers as f64 * pieces_of_call / call_ms;
-        Ok((until_free + waiting as f64 / rate + own_call) as u64)
-    }
-
-    fn fullness_of(&self, service: &str) -> f64 {
-        self.fullness.get(service).copied().unwrap_or(1.0)
-    }
-
-    /// How full calls get while more waits than they take: room at the makers may
-    /// limit them.
-    fn note_fullness(&mut self, service: &str, taken: usize, is_limited: bool) {
-        let most = self.specs[service].pieces.max(1);
-        let seen = match is_limited {
-            true => (taken as f64 / most as f64).clamp(LEAST_FULLNESS, 1.0),
-            false => 1.0,
-        };
-        let weight = if is_limited { 0.2 } else { 0.05 };
-        let known = self.fullness_of(service);
-        let next = known + weight * (seen - known);
-        self.fullness.insert(service.to_owned(), next);
-    }
-
-    /// How long a phase of a service takes now, by rank.
-    pub fn waits(&self, service: &str, table: &InstanceTable) -> ServiceWaits {
-        let wait = |rank: usize| {
-            let expected = self.expected_ms(service, TYPICAL_PIECES, rank as u8, table);
-            expected.map_or(u32::MAX, |ms| ms.min(u64::from(u32::MAX)) as u32)
-        };
-        ServiceWaits {
-            service: service.to_owned(),
-            by_rank: std::array::from_fn(wait),
-        }
-    }
-
     fn waiting_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Order> {
         let orders = self.orders.values();
         orders.filter(move |order| order.work.service == service)
