--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -72,8 +72,8 @@
 }
 
 impl Exchanger {
-    /// Sends a request by `plan`. `may_repeat` tells whether a failure of the
-    /// engine may be kept from the caller, because the request can be sent again.
+    /// Sends the request `id` by `plan`, until the plan's end at the longest. `watch`
+    /// is told of the head and the end of an answer that is relayed as it comes.
     pub async fn send(
         &self,
         request: &IncomingRequest,
--- a/crates/simulation/tests/listing.rs
+++ b/crates/simulation/tests/listing.rs
@@ -111,6 +111,9 @@
     read(&mut world, &[entry(false)], 3);
     let leader = world.leader(GroupId::Control).expect("a leader");
     let names: Vec<NodeName> = world.places.iter().map(|one| one.name.clone()).collect();
+    for node in 0..SIZE.nodes {
+        assert!(knows(&world, node).1, "node {node} before the cut");
+    }
     // The leader is cut off from all but itself.
     for other in (0..SIZE.nodes).filter(|other| *other != leader) {
         let mut network = world.network.borrow_mut();
