Count orders to come, learn the time to a first part, and let late orders not keep others out

Cause: admission knew the queue of a phase only when requests reached it, two phases (0.8 s) after entry. At a burst's start too much was admitted (1,360 pieces a second where 750 to 1,226 were made), then nearly all refused for five seconds while what had come too late was still counted as before everyone else.

Change: a node tells the batching nodes of the later phases of what it admits; they count it until it comes or will not. Waits are told as the backlog before an order's turn and the time of a call, and added up along the chain, the backlog getting smaller meanwhile. Orders too late for their objective are not counted. The time from a send to the first part is learnt by route.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -266,7 +266,8 @@
                     request,
                     phase,
                 } => self.submit(work, &request, phase, now),
-                Action::Cancel { work, .. } => self.cancel(work),
+                Action::Announce { work, order } => self.announce(work, order, now),
+                Action::Cancel { work, service } => self.cancel(work, &service),
                 Action::Release { service, handles } => self.release(service, handles),
             }
         }
--- a/crates/daemon/src/gateway/batching.rs
+++ b/crates/daemon/src/gateway/batching.rs
@@ -7,7 +7,7 @@
 use silversail_decisions::Event as LogEvent;
 use silversail_model::NodeName;
 use silversail_peer::{PeerMessage, PhaseWork, PieceFailure, ResultHandle, WorkId, WorkMessage};
-use silversail_serving::batcher::{FinishedOrder, OrderKey};
+use silversail_serving::batcher::{AnnouncedOrder, FinishedOrder, OrderKey};
 use stakker::CX;
 use std::collections::BTreeMap;
 
@@ -113,8 +113,29 @@
         }
     }
 
-    pub(super) fn cancel(&mut self, work: WorkId) {
-        let Some(owner) = self.works.ended(work) else {
+    /// Tells the batching node of an order to come.
+    pub(super) fn announce(&mut self, work: WorkId, order: AnnouncedOrder, now: Millis) {
+        let Some(owner) = self.owner_of(&order.service) else {
+            return;
+        };
+        if owner == self.node {
+            let node = self.node.clone();
+            self.batcher.announce(OrderKey { node, work }, order, now);
+            return;
+        }
+        let message = WorkMessage::Announce {
+            work,
+            service: order.service,
+            pieces: order.pieces as u32,
+            priority: order.priority,
+        };
+        self.send_work(&owner, message);
+    }
+
+    /// Drops an order that was given or announced.
+    pub(super) fn cancel(&mut self, work: WorkId, service: &str) {
+        let given_to = self.works.ended(work);
+        let Some(owner) = given_to.or_else(|| self.owner_of(service)) else {
             return;
         };
         if owner != self.node {
@@ -159,6 +180,24 @@
                 self.send_work(&from, WorkMessage::Accepted { work, waits });
                 self.take_order(OrderKey { node: from, work }, phase, now);
             }
+            WorkMessage::Announce {
+                work,
+                service,
+                pieces,
+                priority,
+            } => {
+                let waits = self
+                    .batcher
+                    .waits(&service, &self.dispatcher.instances, now);
+                self.send_work(&from, WorkMessage::Accepted { work, waits });
+                let order = AnnouncedOrder {
+                    service,
+                    pieces: pieces as usize,
+                    priority,
+                };
+                self.batcher
+                    .announce(OrderKey { node: from, work }, order, now);
+            }
             WorkMessage::Accepted { waits, .. } => self.dispatcher.set_waits(waits, now),
             WorkMessage::Done {
                 work,
--- a/crates/peer/src/work.rs
+++ b/crates/peer/src/work.rs
@@ -76,8 +76,11 @@
 pub struct ServiceWaits {
     /// The service.
     pub service: String,
-    /// Expected milliseconds from an order to its end, by rank.
-    pub by_rank: [u32; RANKS],
+    /// Milliseconds that what is waiting or announced takes before an order of each
+    /// rank gets its turn.
+    pub backlog_ms: [u32; RANKS],
+    /// Milliseconds from an order's turn to its end.
+    pub call_ms: u32,
 }
 
 /// Messages of work.
@@ -90,6 +93,18 @@
         /// The work.
         phase: PhaseWork,
     },
+    /// Tells of an order to come: its request was admitted, and phases go before. It
+    /// is answered as a submission is.
+    Announce {
+        /// The order.
+        work: WorkId,
+        /// The service.
+        service: String,
+        /// How many pieces it will have.
+        pieces: u32,
+        /// Rank of the request.
+        priority: u8,
+    },
     /// Tells that a submission came, or came again: the order waits or is at work.
     Accepted {
         /// The order.
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -5,6 +5,7 @@
 //! An idle back end gets what waits at once; while all are busy, pieces gather.
 //! Pieces may be made again, so a batch whose fate is unknown is sent once more.
 
+mod announced;
 mod estimate;
 mod makers;
 mod order;
@@ -14,6 +15,9 @@
 use crate::instances::InstanceTable;
 use crate::ports::PieceResults;
 use crate::Millis;
+pub use announced::AnnouncedOrder;
+use announced::AnnouncedOrders;
+use estimate::Pace;
 use makers::{call_ms, MakerBook};
 use order::{Order, PieceState};
 use room::RoomBook;
@@ -93,7 +97,8 @@
     calls: BTreeMap<CallId, CallState>,
     makers: MakerBook,
     room: RoomBook,
-    fullness: BTreeMap<String, f64>,
+    announced: AnnouncedOrders,
+    paces: BTreeMap<String, Pace>,
     next_call: CallId,
     log: DecisionLog,
 }
@@ -107,7 +112,8 @@
             calls: BTreeMap::new(),
             makers: MakerBook::new(log.clone()),
             room: RoomBook::default(),
-            fullness: BTreeMap::new(),
+            announced: AnnouncedOrders::default(),
+            paces: BTreeMap::new(),
             next_call: 1,
             log,
         }
@@ -118,6 +124,11 @@
         self.specs = specs;
     }
 
+    /// Takes in that an order is to come.
+    pub fn announce(&mut self, key: OrderKey, order: AnnouncedOrder, now: Millis) {
+        self.announced.add(key, order, now);
+    }
+
     /// Takes an order. An error refuses it at once.
     pub fn submit(
         &mut self,
@@ -126,6 +137,7 @@
         table: &InstanceTable,
         now: Millis,
     ) -> Result<(), PieceFailure> {
+        self.announced.remove(&key);
         let rank = work.priority;
         let expected = self.expected_ms(&work.service, work.pieces.len(), rank, table, now)?;
         if expected > work.remaining_ms {
@@ -145,6 +157,7 @@
 
     /// Forgets an order; its results are freed, also those still to come.
     pub fn cancel(&mut self, key: &OrderKey) {
+        self.announced.remove(key);
         if let Some(order) = self.orders.remove(key) {
             self.room.release(&order.made());
         }
@@ -357,6 +370,7 @@
 
     /// Ends the orders whose time is over.
     pub fn expire(&mut self, now: Millis) -> Vec<FinishedOrder> {
+        self.announced.expire(now);
         let late = self
             .orders
             .iter()
--- /dev/null
+++ b/crates/serving/src/batcher/announced.rs
@@ -0,0 +1,55 @@
+//! Orders to come: requests under way whose phases before are not done yet. Without
+//! them, a burst would be seen only when it reaches the last phase, and too much be
+//! admitted until then.
+
+use super::OrderKey;
+use crate::Millis;
+use std::collections::BTreeMap;
+
+/// How long an announced order counts, in milliseconds, if nothing more is heard
+/// of it.
+const ANNOUNCED_FOR: Millis = 4_000;
+
+/// An order to come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnnouncedOrder {
+    /// The service.
+    pub service: String,
+    /// How many pieces it will have.
+    pub pieces: usize,
+    /// Rank of the request.
+    pub priority: u8,
+}
+
+/// All orders to come.
+#[derive(Default)]
+pub(super) struct AnnouncedOrders {
+    orders: BTreeMap<OrderKey, (AnnouncedOrder, Millis)>,
+}
+
+impl AnnouncedOrders {
+    pub(super) fn add(&mut self, key: OrderKey, order: AnnouncedOrder, now: Millis) {
+        self.orders.insert(key, (order, now + ANNOUNCED_FOR));
+    }
+
+    /// Forgets an order: it came, or it will not.
+    pub(super) fn remove(&mut self, key: &OrderKey) {
+        self.orders.remove(key);
+    }
+
+    /// Pieces to come of a service, of orders of `rank` and above.
+    pub(super) fn pieces(&self, service: &str, rank: u8, now: Millis) -> usize {
+        let orders = self.orders.values();
+        orders
+            .filter(|(order, until)| {
+                order.service == service && order.priority <= rank && *until > now
+            })
+            .map(|(order, _)| order.pieces)
+            .sum()
+    }
+
+    /// Forgets orders whose time is over.
+    pub(super) fn expire(&mut self, now: Millis) {
+        self.orders.retain(|_, (_, until)| *until > now);
+    }
+}
--- a/crates/serving/src/batcher/estimate.rs
+++ b/crates/serving/src/batcher/estimate.rs
@@ -9,8 +9,26 @@
 
 /// Least share of a full call that is expected of a service.
 const LEAST_FULLNESS: f64 = 0.2;
-/// Pieces of a phase for which waits are told.
-const TYPICAL_PIECES: usize = 4;
+/// Weight of a call in the mean size of calls.
+const SIZE_WEIGHT: f64 = 0.05;
+
+/// What the calls of a service were like lately.
+#[derive(Clone, Copy)]
+pub(super) struct Pace {
+    /// Share of a full call that calls hold while more waits than they take.
+    fullness: f64,
+    /// Mean number of pieces in a call.
+    pieces: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            fullness: 1.0,
+            pieces: 1.0,
+        }
+    }
+}
 
 impl Batcher {
     /// How long `pieces` more pieces of a service can be expected to take for a
@@ -27,51 +45,67 @@
         if table.of_service(service).all(|one| one.listed.draining) {
             return Err(PieceFailure::NoBackend);
         }
+        let backlog = self.backlog_ms(service, rank, table, now);
+        Ok(backlog + call_ms(spec, pieces) as u64)
+    }
+
+    /// How long it takes until an order of `rank` has its turn, in milliseconds.
+    /// Orders too late for their objective stand back and do not count.
+    fn backlog_ms(&self, service: &str, rank: u8, table: &InstanceTable, now: Millis) -> u64 {
+        let Some(spec) = self.specs.get(service) else {
+            return 0;
+        };
         let makers = self.makers.working(service, table, now).max(1);
-        let before = self
+        let is_before = |order: &&Order| {
+            let own_call = call_ms(spec, order.work.pieces.len()) as Millis;
+            order.work.priority <= rank && !order.is_late(now + own_call)
+        };
+        let waiting: usize = self
             .waiting_of(service)
-            .filter(|order| order.work.priority <= rank);
-        let waiting: usize = before.map(Order::waiting_pieces).sum();
-        let full_call = call_ms(spec, spec.pieces);
-        let own_call = call_ms(spec, pieces);
+            .filter(is_before)
+            .map(Order::waiting_pieces)
+            .sum();
+        let to_come = self.announced.pieces(service, rank, now);
         let busy = self.calls.values().filter(|one| one.service == service);
         let until_free = match busy.count() >= makers {
-            true => full_call / (makers + 1) as f64,
+            true => call_ms(spec, spec.pieces) / (makers + 1) as f64,
             false => 0.0,
         };
-        let pieces_of_call = spec.pieces as f64 * self.fullness_of(service);
-        let call_ms = spec.call_ms + spec.piece_ms * pieces_of_call;
-        let rate = makers as f64 * pieces_of_call / call_ms;
-        Ok((until_free + waiting as f64 / rate + own_call) as u64)
+        let pieces_of_call = spec.pieces as f64 * self.pace_of(service).fullness;
+        let call = spec.call_ms + spec.piece_ms * pieces_of_call;
+        let rate = makers as f64 * pieces_of_call / call;
+        (until_free + (waiting + to_come) as f64 / rate) as u64
     }
 
-    pub(super) fn fullness_of(&self, service: &str) -> f64 {
-        self.fullness.get(service).copied().unwrap_or(1.0)
+    fn pace_of(&self, service: &str) -> Pace {
+        self.paces.get(service).copied().unwrap_or_default()
     }
 
-    /// How full calls get while more waits than they take: room at the makers may
-    /// limit them.
-    pub(super) fn note_fullness(&mut self, service: &str, taken: usize, is_limited: bool) {
+    /// Takes in how many pieces a call took. While more waits than it took, room at
+    /// the makers may limit calls.
+    pub(super) fn note_call(&mut self, service: &str, taken: usize, is_limited: bool) {
         let most = self.specs[service].pieces.max(1);
         let seen = match is_limited {
             true => (taken as f64 / most as f64).clamp(LEAST_FULLNESS, 1.0),
             false => 1.0,
         };
         let weight = if is_limited { 0.2 } else { 0.05 };
-        let known = self.fullness_of(service);
-        let next = known + weight * (seen - known);
-        self.fullness.insert(service.to_owned(), next);
+        let mut pace = self.pace_of(service);
+        pace.fullness += weight * (seen - pace.fullness);
+        pace.pieces += SIZE_WEIGHT * (taken as f64 - pace.pieces);
+        self.paces.insert(service.to_owned(), pace);
     }
 
     /// How long a phase of a service takes now, by rank.
     pub fn waits(&self, service: &str, table: &InstanceTable, now: Millis) -> ServiceWaits {
-        let wait = |rank: usize| {
-            let expected = self.expected_ms(service, TYPICAL_PIECES, rank as u8, table, now);
-            expected.map_or(u32::MAX, |ms| ms.min(u64::from(u32::MAX)) as u32)
-        };
+        let backlog = |rank: usize| self.backlog_ms(service, rank as u8, table, now) as u32;
+        let pieces = self.pace_of(service).pieces;
+        let spec = self.specs.get(service);
+        let call = spec.map_or(0.0, |spec| spec.call_ms + spec.piece_ms * pieces);
         ServiceWaits {
             service: service.to_owned(),
-            by_rank: std::array::from_fn(wait),
+            backlog_ms: std::array::from_fn(backlog),
+            call_ms: call as u32,
         }
     }
 }
--- a/crates/serving/src/batcher/order.rs
+++ b/crates/serving/src/batcher/order.rs
@@ -61,13 +61,18 @@
     /// when it is wanted, as it would end at `earliest_end`, stands back.
     pub(super) fn due(&self, earliest_end: Millis) -> Millis {
         let due = self.wanted_at + RANK_STEP * Millis::from(self.work.priority);
-        if earliest_end > self.wanted_at {
+        if self.is_late(earliest_end) {
             due + LATE_STEP
         } else {
             due
         }
     }
 
+    /// Whether it can't be done when it is wanted, if it ends at `earliest_end`.
+    pub(super) fn is_late(&self, earliest_end: Millis) -> bool {
+        earliest_end > self.wanted_at
+    }
+
     /// Bytes that the results of its waiting pieces take.
     pub(super) fn waiting_bytes(&self) -> u64 {
         self.waiting().map(|(_, piece)| piece.result_bytes).sum()
--- a/crates/serving/src/batcher/schedule.rs
+++ b/crates/serving/src/batcher/schedule.rs
@@ -55,7 +55,7 @@
             let taken_pieces = taken.len();
             calls.push(self.start(service, &maker, taken, table, now));
             let is_limited = idle.is_empty() && self.waiting_of(service).any(Order::is_waiting);
-            self.note_fullness(service, taken_pieces, is_limited);
+            self.note_call(service, taken_pieces, is_limited);
             waiting = self.by_urgency(service, "", now);
         }
     }
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -9,6 +9,7 @@
 mod phases;
 mod request;
 
+use crate::batcher::AnnouncedOrder;
 use crate::instances::InstanceTable;
 use crate::ports::{CallAttributes, ReportedLoad, SendAttributes};
 use crate::retry_budget::{RetryBudget, RetryLimits};
@@ -86,6 +87,13 @@
         /// The pieces.
         phase: PhaseWork,
     },
+    /// Tell of an order to come.
+    Announce {
+        /// Identifies the order.
+        work: WorkId,
+        /// Its service and size.
+        order: AnnouncedOrder,
+    },
     /// Drop an order.
     Cancel {
         /// The order.
@@ -253,7 +261,25 @@
         if let Some(come_back_in) = refused {
             return self.end(number, ResultCode::PhaseOverloaded, Some(come_back_in), now);
         }
-        self.advance(number, now)
+        let mut actions = self.advance(number, now);
+        actions.extend(self.announce(number));
+        actions
+    }
+
+    /// Tells the batching nodes of the phases that an admitted request will need.
+    fn announce(&mut self, number: RequestNumber) -> Vec<Action> {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        for phase in request.phases.to_announce() {
+            let work = self.next_work;
+            self.next_work += 1;
+            request.phases.announced(phase, work);
+            let order = request.announced_order(phase);
+            actions.push(Action::Announce { work, order });
+        }
+        actions
     }
 
     fn version(&self) -> u64 {
@@ -309,16 +335,18 @@
         let selection = request.selection(&self.zone);
         let zone = select(&self.instances, &selection, now)
             .map_or_else(String::new, |engine| engine.listed.zone.clone());
+        let first_part = self.admission.first_part_ms(&request.routed.route.name);
         let mut actions = Vec::new();
         for phase in request.phases.startable() {
-            let work = self.next_work;
-            self.next_work += 1;
+            let announced = request.phases.take_announced(phase);
+            let work = announced.unwrap_or(self.next_work);
+            self.next_work = self.next_work.max(work + 1);
             self.works.insert(work, (number, phase));
             request.phases.submitted(phase, work, now);
             actions.push(Action::Submit {
                 work,
                 request: request.call.id.clone(),
-                phase: request.phase_work(phase, &zone, &self.instances, now),
+                phase: request.phase_work(phase, &zone, &self.instances, first_part, now),
             });
         }
         actions
@@ -438,12 +466,18 @@
         let Some(request) = self.requests.get_mut(&number) else {
             return Vec::new();
         };
+        let is_first = request.head_at.is_none();
         request.head_at.get_or_insert(now);
         if let Some(present) = &request.present {
             if let Some(load) = load {
                 self.instances.reported(&present.instance, load, now);
             }
             self.instances.answered(&present.instance);
+            if is_first && request.sends == 1 {
+                let after = now.saturating_sub(present.began_at);
+                let route = &request.routed.route.name;
+                self.admission.saw_first_part(route, after);
+            }
         }
         request.drop_phases()
     }
--- a/crates/serving/src/dispatcher/admission.rs
+++ b/crates/serving/src/dispatcher/admission.rs
@@ -9,8 +9,13 @@
 /// How long what a batching node told counts, in milliseconds.
 const WAITS_LIFETIME: Millis = 1_500;
 /// What comes between the last phase and the first part of an answer, in
-/// milliseconds.
-const TIME_TO_FIRST_PART: u64 = 150;
+/// milliseconds, before any answer of a route was seen.
+const FIRST_PART_AT_FIRST: f64 = 150.0;
+/// Weight of an answer in the mean of that time.
+const FIRST_PART_WEIGHT: f64 = 0.1;
+/// Most that an answer counts in that mean, in milliseconds: one that is stuck says
+/// nothing of others.
+const FIRST_PART_MOST: f64 = 1_000.0;
 /// Share of the objective within which the chain must be expected to end, by rank:
 /// waits are told late, and bursts come between. What is less urgent is refused
 /// first.
@@ -22,25 +27,44 @@
 /// What the batching nodes told.
 #[derive(Default)]
 pub(super) struct Admission {
-    waits: BTreeMap<String, ([u32; RANKS], Millis)>,
+    waits: BTreeMap<String, (ServiceWaits, Millis)>,
+    first_parts: BTreeMap<String, f64>,
 }
 
 impl Admission {
     pub(super) fn set_waits(&mut self, waits: ServiceWaits, now: Millis) {
-        self.waits.insert(waits.service, (waits.by_rank, now));
+        self.waits.insert(waits.service.clone(), (waits, now));
     }
 
-    /// How long a phase of a service takes a request of `rank`; 0 where nothing is
-    /// known, so that the first request finds out.
-    fn wait(&self, service: &str, rank: u8, now: Millis) -> u64 {
-        let Some((by_rank, at)) = self.waits.get(service) else {
-            return 0;
+    /// The first part of an answer of a route came so long after its send.
+    pub(super) fn saw_first_part(&mut self, route: &str, after: Millis) {
+        let mean = self.first_parts.get(route).copied();
+        let mean = mean.unwrap_or(FIRST_PART_AT_FIRST);
+        let seen = (after as f64).min(FIRST_PART_MOST);
+        let next = mean + FIRST_PART_WEIGHT * (seen - mean);
+        self.first_parts.insert(route.to_owned(), next);
+    }
+
+    /// How long a route's answers take from the send to their first part, in
+    /// milliseconds.
+    pub(super) fn first_part_ms(&self, route: &str) -> u64 {
+        let mean = self.first_parts.get(route).copied();
+        mean.unwrap_or(FIRST_PART_AT_FIRST) as u64
+    }
+
+    /// When an order of `rank` that is given in `begin` milliseconds ends. The backlog
+    /// gets smaller until then. Nothing is added where nothing is known, so that the
+    /// first request finds out.
+    fn end_of(&self, service: &str, rank: u8, begin: u64, now: Millis) -> u64 {
+        let Some((waits, at)) = self.waits.get(service) else {
+            return begin;
         };
         if now.saturating_sub(*at) > WAITS_LIFETIME {
-            return 0;
+            return begin;
         }
         let rank = usize::from(rank).min(RANKS - 1);
-        u64::from(by_rank[rank])
+        let turn = begin.max(u64::from(waits.backlog_ms[rank]));
+        turn + u64::from(waits.call_ms)
     }
 
     /// When a request shall come back that can't be expected to keep its
@@ -48,12 +72,10 @@
     pub(super) fn refuses(&self, request: &ActiveRequest, now: Millis) -> Option<u64> {
         let rank = request.routed.priority;
         let specs = &request.routed.route.phases;
-        let time_of = |phase: usize| self.wait(&specs[phase].service, rank, now);
-        let phases = request.phases.present();
-        let chains = phases
-            .iter()
-            .map(|phase| request.phases.chain_ms(*phase, &time_of));
-        let expected = chains.max()? + TIME_TO_FIRST_PART;
+        let end_of =
+            |phase: usize, begin: u64| self.end_of(&specs[phase].service, rank, begin, now);
+        let first_part = self.first_part_ms(&request.routed.route.name);
+        let expected = request.phases.expected_end(end_of)? + first_part;
         let share = ADMITTED_SHARE[usize::from(rank).min(RANKS - 1)];
         let objective = (request.routed.route.objective_ms as f64 * share) as u64;
         if expected <= objective {
--- a/crates/serving/src/dispatcher/phases.rs
+++ b/crates/serving/src/dispatcher/phases.rs
@@ -21,6 +21,8 @@
     pieces: u32,
     state: PhaseState,
     submitted_at: Millis,
+    /// The number that its order will have, once it is announced.
+    announced: Option<WorkId>,
 }
 
 /// The phases of one request.
@@ -45,6 +47,7 @@
                     pieces,
                     state,
                     submitted_at: 0,
+                    announced: None,
                 }
             })
             .collect();
@@ -84,25 +87,42 @@
             .collect()
     }
 
-    /// The longest chain of phases from `phase` on, as the sum of what `time_of`
-    /// gives for each.
-    pub(super) fn chain_ms(&self, phase: usize, time_of: &impl Fn(usize) -> u64) -> u64 {
-        let later = (phase + 1..self.phases.len())
-            .filter(|later| self.phases[*later].after.contains(&phase))
-            .filter(|later| self.phases[*later].state != PhaseState::LeftOut)
-            .map(|later| self.chain_ms(later, time_of))
-            .max()
-            .unwrap_or_default();
-        time_of(phase) + later
+    /// When all phases are done, if none is begun yet, in milliseconds from now;
+    /// none without phases. `end_of` tells when a phase that begins at a time ends.
+    pub(super) fn expected_end(&self, end_of: impl Fn(usize, u64) -> u64) -> Option<u64> {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.phases.len());
+        for (number, phase) in self.phases.iter().enumerate() {
+            let before = phase.after.iter().filter_map(|before| ends.get(*before));
+            let begin = before.copied().max().unwrap_or_default();
+            let end = match phase.state {
+                PhaseState::LeftOut => begin,
+                _ => end_of(number, begin),
+            };
+            ends.push(end);
+        }
+        let is_present = |phase: &Phase| phase.state != PhaseState::LeftOut;
+        let has_phases = self.phases.iter().any(is_present);
+        ends.into_iter().max().filter(|_| has_phases)
     }
 
-    /// Phases that the request has.
-    pub(super) fn present(&self) -> Vec<usize> {
-        (0..self.phases.len())
-            .filter(|phase| self.phases[*phase].state != PhaseState::LeftOut)
+    /// Phases that wait for others and are not announced.
+    pub(super) fn to_announce(&self) -> Vec<usize> {
+        let phases = self.phases.iter().enumerate();
+        phases
+            .filter(|(_, phase)| phase.state == PhaseState::Waiting && phase.announced.is_none())
+            .map(|(number, _)| number)
             .collect()
     }
 
+    pub(super) fn announced(&mut self, phase: usize, work: WorkId) {
+        self.phases[phase].announced = Some(work);
+    }
+
+    /// Takes the number that the order of an announced phase has.
+    pub(super) fn take_announced(&mut self, phase: usize) -> Option<WorkId> {
+        self.phases[phase].announced.take()
+    }
+
     pub(super) fn submitted(&mut self, phase: usize, work: WorkId, now: Millis) {
         self.phases[phase].state = PhaseState::Submitted(work);
         self.phases[phase].submitted_at = now;
@@ -214,7 +234,7 @@
             .collect()
     }
 
-    /// Takes the orders that are under way.
+    /// Takes the orders that are under way or announced.
     pub(super) fn take_orders(&mut self) -> Vec<(usize, WorkId)> {
         let mut orders = Vec::new();
         for (number, phase) in self.phases.iter_mut().enumerate() {
@@ -222,6 +242,7 @@
                 orders.push((number, work));
                 phase.state = PhaseState::Waiting;
             }
+            orders.extend(phase.announced.take().map(|work| (number, work)));
         }
         orders
     }
--- a/crates/serving/src/dispatcher/request.rs
+++ b/crates/serving/src/dispatcher/request.rs
@@ -2,6 +2,7 @@
 
 use super::phases::PhaseBook;
 use super::Action;
+use crate::batcher::AnnouncedOrder;
 use crate::instances::InstanceTable;
 use crate::ports::{CallAttributes, SendAttributes};
 use crate::routes::Routed;
@@ -99,12 +100,14 @@
         String::new()
     }
 
-    /// The pieces of a phase. The engine will probably be in `engine_zone`.
+    /// The pieces of a phase. The engine will probably be in `engine_zone`, and take
+    /// `first_part` milliseconds until the first part of its answer.
     pub(super) fn phase_work(
         &self,
         phase: usize,
         engine_zone: &str,
         instances: &InstanceTable,
+        first_part: Millis,
         now: Millis,
     ) -> PhaseWork {
         let spec = &self.routed.route.phases[phase];
@@ -120,7 +123,8 @@
             .collect();
         let later = self.phases.phases_after(phase) as Millis;
         let objective = self.arrived_at + self.routed.route.objective_ms;
-        let wanted_at = objective.saturating_sub(TIME_OF_LATER_PHASE * later);
+        let after_phase = TIME_OF_LATER_PHASE * later + first_part;
+        let wanted_at = objective.saturating_sub(after_phase);
         PhaseWork {
             service: spec.service.clone(),
             pieces,
@@ -131,6 +135,15 @@
         }
     }
 
+    /// What a batching node is told of a phase to come.
+    pub(super) fn announced_order(&self, phase: usize) -> AnnouncedOrder {
+        AnnouncedOrder {
+            service: self.routed.route.phases[phase].service.clone(),
+            pieces: self.phases.pieces(phase) as usize,
+            priority: self.routed.priority,
+        }
+    }
+
     /// A phase's results came. Results that nothing needs any more are freed.
     pub(super) fn phase_made(&mut self, phase: usize, handles: Vec<ResultHandle>) -> Vec<Action> {
         self.phases.made(phase, handles);
--- a/crates/serving/tests/batcher.rs
+++ b/crates/serving/tests/batcher.rs
@@ -5,7 +5,7 @@
 use common::{batch_spec, instance};
 use silversail_decisions::DecisionLog;
 use silversail_peer::{PhaseWork, Piece, PieceFailure, PieceSource, ResultHandle};
-use silversail_serving::batcher::{BatchCall, Batcher, CallOutcome, OrderKey};
+use silversail_serving::batcher::{AnnouncedOrder, BatchCall, Batcher, CallOutcome, OrderKey};
 use silversail_serving::instances::InstanceTable;
 
 fn table(makers: &[(&str, &str)]) -> InstanceTable {
@@ -115,7 +115,7 @@
     urgent.priority = 0;
     batcher.submit(key(9), urgent, &table, 5).expect("taken");
     let waits = batcher.waits("encode", &table, 5);
-    assert!(waits.by_rank[0] < waits.by_rank[1], "{waits:?}");
+    assert!(waits.backlog_ms[0] < waits.backlog_ms[1], "{waits:?}");
     batcher.call_ended(first[0].call, made(&first[0]), 300);
     let next = batcher.next_calls(&table, 300);
     assert_eq!(next[0].pieces[0].0.request, "r9");
@@ -342,3 +342,31 @@
     let calls = batcher.next_calls(&table, 3_100);
     assert!(calls.iter().any(|call| call.instance == slow.instance));
 }
+
+#[test]
+fn announced_orders_count_until_they_come_or_will_not() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    let order = |pieces| AnnouncedOrder {
+        service: "encode".into(),
+        pieces,
+        priority: 1,
+    };
+    let backlog =
+        |batcher: &Batcher, rank: usize, now| batcher.waits("encode", &table, now).backlog_ms[rank];
+    assert_eq!(backlog(&batcher, 1, 0), 0);
+    batcher.announce(key(1), order(8), 0);
+    batcher.announce(key(2), order(8), 0);
+    let both = backlog(&batcher, 1, 0);
+    assert!((600..=680).contains(&both), "{both}");
+    assert_eq!(backlog(&batcher, 0, 0), 0);
+    // One comes and is the same order then.
+    batcher
+        .submit(key(1), work(1, 8), &table, 10)
+        .expect("taken");
+    assert_eq!(backlog(&batcher, 1, 10), both);
+    batcher.cancel(&key(2));
+    assert_eq!(backlog(&batcher, 1, 10), both / 2);
+    batcher.announce(key(3), order(8), 20);
+    assert_eq!(backlog(&batcher, 1, 20), both);
+    assert_eq!(backlog(&batcher, 1, 4_100), 0);
+}
--- /dev/null
+++ b/crates/serving/tests/burst.rs
@@ -0,0 +1,192 @@
+//! Requests with three phases in a row, taken in by several nodes, in a burst of twice
+//! what the makers can do: what is admitted keeps its objective.
+
+mod common;
+
+use common::{batch_spec, call_of, instance, phase, route, traffic, LIMITS};
+use silversail_decisions::DecisionLog;
+use silversail_model::traffic::{RouteKind, ServiceSpec};
+use silversail_peer::{Piece, ResultHandle};
+use silversail_serving::batcher::{BatchCall, Batcher, CallOutcome, OrderKey};
+use silversail_serving::dispatcher::{Action, Dispatcher, SendOutcome};
+use silversail_serving::routes::RouteTable;
+use std::collections::{BTreeMap, VecDeque};
+
+const SERVICES: [&str; 3] = ["one", "two", "three"];
+const MAKERS: usize = 4;
+const NODES: usize = 8;
+const OBJECTIVE: u64 = 2_000;
+
+/// Nodes that take requests in, and one that batches for all.
+struct Fleet {
+    nodes: Vec<Dispatcher>,
+    batcher: Batcher,
+    now: u64,
+    at_work: Vec<(u64, BatchCall)>,
+    arrived_at: BTreeMap<u64, u64>,
+    in_time: usize,
+    late: usize,
+    refused: usize,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let mut configuration = traffic();
+        let mut chain = route("chain", "/chain/", "pool", RouteKind::Repeatable);
+        chain.objective_ms = OBJECTIVE;
+        chain.timeout_ms = 15_000;
+        chain.phases = vec![
+            phase("one", &[], 100),
+            phase("two", &[0], 100),
+            phase("three", &[1], 100),
+        ];
+        configuration.routes.push(chain);
+        for name in SERVICES {
+            configuration.services.push(ServiceSpec {
+                name: name.into(),
+                health_path: "/health".into(),
+                max_connections: 100,
+                engine: None,
+                batch: Some(batch_spec()),
+            });
+        }
+        let mut listed = vec![instance("e1", "pool", "a")];
+        for service in SERVICES {
+            let makers =
+                (0..MAKERS).map(|number| instance(&format!("{service}{number}"), service, "a"));
+            listed.extend(makers);
+        }
+        let node = || {
+            let mut node = Dispatcher::new("a", LIMITS, 1, DecisionLog::off());
+            node.set_routes(RouteTable::new(&configuration));
+            node.instances.replace(listed.clone());
+            node
+        };
+        let nodes = (0..NODES).map(|_| node()).collect();
+        let mut batcher = Batcher::new(DecisionLog::off());
+        let specs = SERVICES.map(|name| (name.to_owned(), batch_spec()));
+        batcher.set_specs(specs.into());
+        Self {
+            nodes,
+            batcher,
+            now: 0,
+            at_work: Vec::new(),
+            arrived_at: BTreeMap::new(),
+            in_time: 0,
+            late: 0,
+            refused: 0,
+        }
+    }
+
+    fn arrive(&mut self, number: u64) {
+        let mut call = call_of(&format!("r{number}"), "/chain/x");
+        call.pieces = vec![1, 4, 4];
+        call.piece_key = "k".into();
+        call.deadline_ms = Some(15_000);
+        self.arrived_at.insert(number, self.now);
+        let node = number as usize % NODES;
+        let actions = self.nodes[node].arrive(number, call, self.now);
+        self.carry_out(node, actions);
+    }
+
+    fn carry_out(&mut self, node: usize, actions: Vec<Action>) {
+        let mut queue: VecDeque<Action> = actions.into();
+        while let Some(action) = queue.pop_front() {
+            match action {
+                Action::Answer { .. } => self.refused += 1,
+                Action::Send { number, .. } => {
+                    let took = self.now - self.arrived_at[&number];
+                    if took <= OBJECTIVE {
+                        self.in_time += 1;
+                    } else {
+                        self.late += 1;
+                    }
+                    queue.extend(self.nodes[node].head_received(number, None, self.now));
+                    let whole = SendOutcome::Delivered {
+                        status: 200,
+                        is_whole: true,
+                    };
+                    queue.extend(self.nodes[node].send_ended(number, whole, None, self.now));
+                }
+                Action::Submit { work, phase, .. } => {
+                    let service = phase.service.clone();
+                    let table = &self.nodes[node].instances;
+                    self.batcher
+                        .submit(key(node, work), phase, table, self.now)
+                        .expect("taken");
+                    self.tell_waits(node, &service);
+                }
+                Action::Announce { work, order } => {
+                    let service = order.service.clone();
+                    self.batcher.announce(key(node, work), order, self.now);
+                    self.tell_waits(node, &service);
+                }
+                Action::Cancel { work, .. } => self.batcher.cancel(&key(node, work)),
+                Action::Release { handles, .. } => self.batcher.release(&handles),
+            }
+        }
+    }
+
+    fn tell_waits(&mut self, node: usize, service: &str) {
+        let table = &self.nodes[node].instances;
+        let waits = self.batcher.waits(service, table, self.now);
+        self.nodes[node].set_waits(waits, self.now);
+    }
+
+    fn step(&mut self) {
+        self.now += 1;
+        let now = self.now;
+        let (ended, at_work) = std::mem::take(&mut self.at_work)
+            .into_iter()
+            .partition(|(until, _)| *until <= now);
+        self.at_work = at_work;
+        for (_, call) in ended {
+            for order in self.batcher.call_ended(call.call, made(&call), now) {
+                let node: usize = order.key.node.as_str().parse().expect("a number");
+                self.tell_waits(node, &order.service);
+                let actions = self.nodes[node].phase_done(order.key.work, order.result, now);
+                self.carry_out(node, actions);
+            }
+        }
+        let table = &self.nodes[0].instances;
+        for call in self.batcher.next_calls(table, now) {
+            let takes = 240 + 10 * call.pieces.len() as u64;
+            self.at_work.push((now + takes, call));
+        }
+    }
+}
+
+fn key(node: usize, work: u64) -> OrderKey {
+    OrderKey {
+        node: node.to_string().as_str().into(),
+        work,
+    }
+}
+
+fn made(call: &BatchCall) -> CallOutcome {
+    let handle = |(piece, _): &(Piece, u64)| {
+        let name = format!("{}/{}-{}", call.address, piece.request, piece.index);
+        Ok(ResultHandle(name))
+    };
+    CallOutcome::Answered(call.pieces.iter().map(handle).collect())
+}
+
+#[test]
+fn what_is_admitted_in_a_burst_keeps_its_objective() {
+    let mut fleet = Fleet::new();
+    let mut number = 0;
+    // Four makers take 25 requests a second; 50 arrive for 5 seconds.
+    while fleet.now < 8_000 {
+        if fleet.now < 5_000 && fleet.now.is_multiple_of(20) {
+            fleet.arrive(number);
+            number += 1;
+        }
+        fleet.step();
+    }
+    let (in_time, late, refused) = (fleet.in_time, fleet.late, fleet.refused);
+    let figures = format!("in time {in_time}, late {late}, refused {refused}");
+    assert_eq!(in_time + late + refused, 250, "{figures}");
+    assert!(late * 20 <= in_time, "{figures}");
+    // The makers are not left idle.
+    assert!(in_time >= 120, "{figures}");
+}
--- a/crates/serving/tests/dispatcher.rs
+++ b/crates/serving/tests/dispatcher.rs
@@ -227,7 +227,8 @@
     let mut dispatcher = dispatcher();
     let waits = ServiceWaits {
         service: "encode".into(),
-        by_rank: [300, 900, 900, 900],
+        backlog_ms: [100, 900, 900, 900],
+        call_ms: 300,
     };
     dispatcher.set_waits(waits, 0);
     let mut request = call_of("r", "/staged/x");
