Free the results of dead processes, leave room after a change of owner, tell slow makers by the usual

Calls that waited behind another owner's made makers look slow.

Change: orders of processes that left the view, and were not heard of for 1.5 s, are dropped and their results freed; for 1 s after a change of owner half of the room is left and inputs last, and also for 1 s after a maker failed; a call is slow against the median of its service. The log says of each call how many pieces failed in which way.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -13,7 +13,7 @@
 use silversail_consensus::Millis;
 use silversail_decisions::{DecisionLog, Event as LogEvent};
 use silversail_model::{NodeName, ResultCode};
-use silversail_peer::ListingVersion;
+use silversail_peer::{ListingVersion, WorkId};
 use silversail_serving::batcher::Batcher;
 use silversail_serving::dispatcher::{
     Action, Dispatcher, NotRunReason, RequestNumber, SendOutcome, UnknownReason,
@@ -80,6 +80,8 @@
     pub(super) owner_watch: OwnerWatch,
     pub(super) traffic_version: Option<u64>,
     pub(super) view_changes: u64,
+    /// The processes of the last view, by node.
+    pub(super) processes: BTreeMap<NodeName, u64>,
     pub(super) listing_version: Option<ListingVersion>,
     pub(super) list_works: bool,
 }
@@ -96,9 +98,7 @@
             let outbox = setup.outbox.borrow();
             (outbox.node().clone(), outbox.incarnation())
         };
-        // A number of the process in the high bits, so that answers to a former
-        // process of this node are not taken for this one's.
-        let first_work = incarnation << 20;
+        let first_work = first_work_of(incarnation);
         let log = setup.log.clone();
         after!(IDLE_TICK, [cx], tick());
         Some(Self {
@@ -111,6 +111,7 @@
             owner_watch: OwnerWatch::default(),
             traffic_version: None,
             view_changes: 0,
+            processes: BTreeMap::new(),
             listing_version: None,
             list_works: true,
             setup,
@@ -281,6 +282,13 @@
     }
 }
 
+/// The first number of the orders of a process: a number of the process stands in the
+/// high bits, so that answers to a former process of a node are not taken for the
+/// present one's.
+pub(super) fn first_work_of(incarnation: u64) -> WorkId {
+    incarnation << 20
+}
+
 /// Label of what came of a send.
 fn outcome_label(outcome: SendOutcome) -> &'static str {
     match outcome {
--- a/crates/daemon/src/gateway/following.rs
+++ b/crates/daemon/src/gateway/following.rs
@@ -1,17 +1,23 @@
 //! What the actor does when the traffic configuration, the view or the list of back
 //! ends changes.
 
-use crate::gateway::actor::GatewayActor;
+use crate::gateway::actor::{first_work_of, GatewayActor};
 use crate::gateway::owners::batch_owner;
 use silversail_consensus::Millis;
 use silversail_decisions::Event as LogEvent;
 use silversail_model::NodeName;
+use silversail_peer::WorkId;
 use silversail_serving::routes::RouteTable;
 use stakker::CX;
+use std::collections::BTreeMap;
 
 /// For how long a node relies on the leader's read of the list, in milliseconds.
 const LISTING_LEASE: Millis = 2_000;
 
+/// A node that gave a sign within this time works, whatever the view says, in
+/// milliseconds.
+const STILL_THERE: Millis = 1_500;
+
 impl GatewayActor {
     /// The leader reads the list of back ends for all; others only while they do not
     /// know that it lately did.
@@ -82,9 +88,32 @@
             version: format!("{}.{}", version.term, version.sequence),
             nodes: names,
         });
+        self.follow_processes(now);
         self.refresh_owners(now);
     }
 
+    /// Drops the orders of processes that left the view: their results would take room
+    /// for nobody. A node that is cut off from the leader only is heard of here.
+    fn follow_processes(&mut self, now: Millis) {
+        let present: BTreeMap<NodeName, u64> = {
+            let state = self.setup.state.borrow();
+            let nodes = state.view.nodes.iter();
+            nodes
+                .map(|one| (one.node.clone(), one.incarnation))
+                .collect()
+        };
+        for (node, incarnation) in std::mem::take(&mut self.processes) {
+            let first_wanted = match present.get(&node) {
+                Some(newer) if *newer > incarnation => first_work_of(*newer),
+                Some(_) => continue,
+                None if self.owner_watch.was_heard_within(&node, STILL_THERE, now) => continue,
+                None => WorkId::MAX,
+            };
+            self.batcher.forget_process(&node, first_wanted);
+        }
+        self.processes = present;
+    }
+
     pub(super) fn refresh_owners(&mut self, now: Millis) {
         let state = self.setup.state.borrow();
         let Some(traffic) = &state.traffic else {
@@ -102,6 +131,10 @@
             };
             let former = self.owners.insert(service.name.clone(), owner.clone());
             if former.as_ref() != Some(&owner) {
+                if owner == self.node {
+                    let table = &self.dispatcher.instances;
+                    self.batcher.take_over(&service.name, table, now);
+                }
                 self.setup.log.record(LogEvent::BatchOwner {
                     service: service.name.clone(),
                     owner: owner.0,
--- a/crates/daemon/src/gateway/owners.rs
+++ b/crates/daemon/src/gateway/owners.rs
@@ -67,6 +67,12 @@
         self.passed_over_until.remove(node);
     }
 
+    /// Whether a message of a node came within `span` milliseconds.
+    pub fn was_heard_within(&self, node: &NodeName, span: Millis, now: Millis) -> bool {
+        let heard_at = self.heard_at.get(node);
+        heard_at.is_some_and(|at| now.saturating_sub(*at) <= span)
+    }
+
     /// Whether a node is passed over.
     pub fn is_passed_over(&self, node: &NodeName, now: Millis) -> bool {
         let until = self.passed_over_until.get(node);
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -33,6 +33,9 @@
 /// milliseconds.
 const INPUTS_READ_AFTER: Millis = 100;
 
+/// How long the results of the node that batched before are assumed to take half of
+/// the room, in milliseconds.
+const FORMER_OWNER_FOR: Millis = 1_000;
 /// Identifies an order of work by the node that gave it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct OrderKey {
@@ -163,12 +166,33 @@
         }
     }
 
-    /// Forgets all orders of a node that is gone.
-    pub fn cancel_of(&mut self, node: &NodeName) {
-        let keys = self.orders.keys().filter(|key| key.node == *node);
-        for key in keys.cloned().collect::<Vec<_>>() {
+    /// This node batches a service from now on: what the results of the node before
+    /// take at the makers is not known here.
+    pub fn take_over(&mut self, service: &str, table: &InstanceTable, now: Millis) {
+        let room = self.room_of(service);
+        for maker in table.of_service(service) {
+            let id = &maker.listed.id;
+            let until = now + FORMER_OWNER_FOR;
+            self.makers.put_at_risk(id, FORMER_OWNER_FOR, now);
+            self.room.assume_taken(id, room / 2, until);
+        }
+    }
+
+    /// Forgets the orders of a process that is gone, those with numbers below
+    /// `first_work`, and frees their results.
+    pub fn forget_process(&mut self, node: &NodeName, first_work: WorkId) {
+        let is_theirs = |key: &OrderKey| key.node == *node && key.work < first_work;
+        let keys: Vec<OrderKey> = self
+            .orders
+            .keys()
+            .filter(|key| is_theirs(key))
+            .cloned()
+            .collect();
+        for key in keys {
             self.cancel(&key);
         }
+        self.announced.forget(is_theirs);
+        self.room.release_of(is_theirs);
     }
 
     /// Frees results.
@@ -198,6 +222,7 @@
                 continue;
             };
             order.states[*index] = PieceState::InCall(call);
+            order.is_at_risk |= self.makers.is_at_risk(maker, now);
             if order.waiting_pieces() == 0 {
                 order.all_called_at = Some(now);
             }
@@ -248,7 +273,7 @@
         self.room.unreserve(&state.instance, state.room);
         self.log.record(Event::BatchEnded {
             backend: state.instance.clone(),
-            outcome: outcome_name(&outcome).to_owned(),
+            outcome: outcome_text(&outcome),
             took_ms: now.saturating_sub(state.began_at),
         });
         self.note_maker(&state, &outcome, now);
@@ -284,7 +309,7 @@
             if let Ok(handle) = &result {
                 let bytes = self.bytes_of(key, *index);
                 self.room
-                    .hold(&call.instance, handle, bytes, now + lifetime);
+                    .hold(key, &call.instance, handle, bytes, now + lifetime);
             }
             if let Some(failure) = self.take_result(key, *index, result, &call.instance, now) {
                 finished.extend(self.fail(key, failure));
@@ -294,6 +319,10 @@
         finished
     }
 
+    fn room_of(&self, service: &str) -> u64 {
+        self.specs.get(service).map_or(0, |spec| spec.room_bytes)
+    }
+
     fn bytes_of(&self, key: &OrderKey, index: usize) -> u64 {
         let order = self.orders.get(key);
         order.map_or(0, |order| order.work.pieces[index].result_bytes)
@@ -383,11 +412,14 @@
 
     /// Orders whose back ends have read all inputs by now: their calls began at
     /// once, as no other waited there, and inputs are read first. The inputs can
-    /// be freed; each order is told once.
+    /// be freed; each order is told once. Orders at risk are not told: a piece that is
+    /// made a second time needs its inputs.
     pub fn inputs_read(&mut self, now: Millis) -> Vec<OrderKey> {
         let is_read = |order: &Order| {
             let called_at = order.all_called_at;
-            !order.told_inputs_read && called_at.is_some_and(|at| at + INPUTS_READ_AFTER <= now)
+            !order.told_inputs_read
+                && !order.is_at_risk
+                && called_at.is_some_and(|at| at + INPUTS_READ_AFTER <= now)
         };
         let read = self.orders.iter_mut().filter(|(_, order)| is_read(order));
         read.map(|(key, order)| {
@@ -409,12 +441,24 @@
     requests
 }
 
-fn outcome_name(outcome: &CallOutcome) -> &'static str {
-    match outcome {
-        CallOutcome::Answered(results) if results.iter().all(Result::is_ok) => "made",
-        CallOutcome::Answered(_) => "made_in_part",
-        CallOutcome::NotRun => "not_run",
-        CallOutcome::Unreachable => "unreachable",
-        CallOutcome::Unknown => "unknown",
+/// What a call came to, for the log; for each way in which pieces failed, how many.
+fn outcome_text(outcome: &CallOutcome) -> String {
+    let results = match outcome {
+        CallOutcome::Answered(results) => results,
+        CallOutcome::NotRun => return "not_run".to_owned(),
+        CallOutcome::Unreachable => return "unreachable".to_owned(),
+        CallOutcome::Unknown => return "unknown".to_owned(),
+    };
+    let mut failures: BTreeMap<PieceFailure, usize> = BTreeMap::new();
+    for failure in results.iter().filter_map(|result| result.as_ref().err()) {
+        *failures.entry(*failure).or_default() += 1;
+    }
+    if failures.is_empty() {
+        return "made".to_owned();
     }
+    let counts: Vec<String> = failures
+        .iter()
+        .map(|(failure, count)| format!("{failure:?}={count}"))
+        .collect();
+    format!("made_in_part {}", counts.join(" "))
 }
--- a/crates/serving/src/batcher/announced.rs
+++ b/crates/serving/src/batcher/announced.rs
@@ -37,6 +37,11 @@
         self.orders.remove(key);
     }
 
+    /// Forgets the orders that `is_theirs` holds for.
+    pub(super) fn forget(&mut self, is_theirs: impl Fn(&OrderKey) -> bool) {
+        self.orders.retain(|key, _| !is_theirs(key));
+    }
+
     /// Pieces to come of a service, of orders of `rank` and above.
     pub(super) fn pieces(&self, service: &str, rank: u8, now: Millis) -> usize {
         let orders = self.orders.values();
--- a/crates/serving/src/batcher/makers.rs
+++ b/crates/serving/src/batcher/makers.rs
@@ -6,7 +6,7 @@
 use crate::Millis;
 use silversail_decisions::{DecisionLog, Event};
 use silversail_model::traffic::BatchSpec;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// How long a maker that refused a call, or had no room, gets none, in
 /// milliseconds.
@@ -16,23 +16,56 @@
 const FAILED_FOR: Millis = 250;
 /// Most doublings of it.
 const MAX_DOUBLINGS: u32 = 4;
-/// A call that took so many times what its pieces take by the configuration was
-/// made by a slow maker. A call that waited behind another takes twice as long.
-const SLOW_FACTOR: f64 = 2.6;
+/// A call that took so many times what calls of the service take lately was made by
+/// a slow maker.
+const SLOW_FACTOR: f64 = 2.4;
+/// Calls of a service that are remembered for that.
+const REMEMBERED_CALLS: usize = 15;
 /// How long a slow maker gets no call, in milliseconds, until it is tried again.
 const SLOW_FOR: Millis = 2_000;
 
+/// How long after a maker failed its calls count as at risk, in milliseconds.
+const AT_RISK_FOR: Millis = 1_000;
+
 /// Times of one maker.
 #[derive(Default)]
 struct Maker {
     failures: u32,
     refused_until: Millis,
     slow_until: Millis,
+    at_risk_until: Millis,
+}
+
+/// How long the latest calls of a service took, each as a share of what its pieces
+/// take by the configuration.
+#[derive(Default)]
+struct RecentCalls {
+    shares: VecDeque<f64>,
+}
+
+impl RecentCalls {
+    fn add(&mut self, share: f64) {
+        if self.shares.len() == REMEMBERED_CALLS {
+            self.shares.pop_front();
+        }
+        self.shares.push_back(share);
+    }
+
+    /// The median; the configuration's time where few calls are known. Two nodes that
+    /// batch for a while, after a change of owner, make calls wait and all of them
+    /// longer.
+    fn usual(&self) -> f64 {
+        let mut sorted: Vec<f64> = self.shares.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        let median = sorted.get(sorted.len() / 2).copied();
+        median.unwrap_or_default().max(1.0)
+    }
 }
 
 /// All makers of which something is believed.
 pub(super) struct MakerBook {
     makers: BTreeMap<String, Maker>,
+    recent: BTreeMap<String, RecentCalls>,
     log: DecisionLog,
 }
 
@@ -40,10 +73,23 @@
     pub(super) fn new(log: DecisionLog) -> Self {
         Self {
             makers: BTreeMap::new(),
+            recent: BTreeMap::new(),
             log,
         }
     }
 
+    /// A piece may have to be made a second time for `within` milliseconds from now.
+    pub(super) fn put_at_risk(&mut self, id: &str, within: Millis, now: Millis) {
+        let maker = self.makers.entry(id.to_owned()).or_default();
+        maker.at_risk_until = maker.at_risk_until.max(now + within);
+    }
+
+    /// Whether pieces that a maker gets may well have to be made a second time.
+    pub(super) fn is_at_risk(&self, id: &str, now: Millis) -> bool {
+        let maker = self.makers.get(id);
+        maker.is_some_and(|maker| maker.at_risk_until > now)
+    }
+
     /// A maker refused a call, or had no room for a result.
     pub(super) fn refused(&mut self, id: &str, now: Millis) {
         let maker = self.makers.entry(id.to_owned()).or_default();
@@ -55,6 +101,7 @@
         let maker = self.makers.entry(id.to_owned()).or_default();
         let doublings = maker.failures.min(MAX_DOUBLINGS);
         maker.failures += 1;
+        maker.at_risk_until = now + AT_RISK_FOR;
         maker.refused_until = now + (FAILED_FOR << doublings);
         self.record(id, service, "suspect");
     }
@@ -82,9 +129,13 @@
             CallOutcome::NotRun => self.refused(id, now),
             CallOutcome::Unreachable | CallOutcome::Unknown => self.failed(id, service, now),
             CallOutcome::Answered(_) => {
+                let share = took as f64 / expected_ms;
+                let recent = self.recent.entry(service.to_owned()).or_default();
+                let is_slow = share > recent.usual() * SLOW_FACTOR;
+                recent.add(share);
                 let maker = self.makers.entry(id.to_owned()).or_default();
                 maker.failures = 0;
-                if took as f64 > expected_ms * SLOW_FACTOR {
+                if is_slow {
                     maker.slow_until = now + SLOW_FOR;
                     self.record(id, service, "slow");
                 }
--- a/crates/serving/src/batcher/order.rs
+++ b/crates/serving/src/batcher/order.rs
@@ -34,6 +34,8 @@
     pub(super) all_called_at: Option<Millis>,
     /// Whether it was told that its inputs are read.
     pub(super) told_inputs_read: bool,
+    /// Whether a piece may well have to be made a second time: its inputs must last.
+    pub(super) is_at_risk: bool,
 }
 
 impl Order {
@@ -45,6 +47,7 @@
             deadline: now + work.remaining_ms,
             all_called_at: None,
             told_inputs_read: false,
+            is_at_risk: false,
             work,
         }
     }
@@ -117,6 +120,7 @@
     ) -> Option<PieceFailure> {
         self.states[index] = PieceState::Waiting;
         self.all_called_at = None;
+        self.is_at_risk = true;
         if counts {
             self.calls[index] += 1;
         }
--- a/crates/serving/src/batcher/room.rs
+++ b/crates/serving/src/batcher/room.rs
@@ -1,10 +1,12 @@
 //! The room that results take at their makers.
 
+use super::OrderKey;
 use crate::Millis;
 use silversail_peer::ResultHandle;
 use std::collections::BTreeMap;
 
 struct Held {
+    key: OrderKey,
     maker: String,
     bytes: u64,
     until: Millis,
@@ -16,12 +18,23 @@
     taken: BTreeMap<String, u64>,
     held: BTreeMap<ResultHandle, Held>,
     releases: Vec<ResultHandle>,
+    foreign: BTreeMap<String, (u64, Millis)>,
 }
 
 impl RoomBook {
-    /// Bytes taken at a maker.
+    /// Bytes taken at a maker, those that are assumed included.
     pub(super) fn taken(&self, maker: &str) -> u64 {
-        self.taken.get(maker).copied().unwrap_or_default()
+        let known = self.taken.get(maker).copied().unwrap_or_default();
+        let foreign = self.foreign.get(maker).map_or(0, |(bytes, _)| *bytes);
+        known + foreign
+    }
+
+    /// Assumes that results of other batching nodes take room at a maker, so that
+    /// `bytes` are taken there in all, until `until`.
+    pub(super) fn assume_taken(&mut self, maker: &str, bytes: u64, until: Millis) {
+        let known = self.taken.get(maker).copied().unwrap_or_default();
+        let foreign = bytes.saturating_sub(known);
+        self.foreign.insert(maker.to_owned(), (foreign, until));
     }
 
     /// A call that will make so many bytes begins.
@@ -36,10 +49,18 @@
         }
     }
 
-    /// A result is held until `until`, or until it is released.
-    pub(super) fn hold(&mut self, maker: &str, handle: &ResultHandle, bytes: u64, until: Millis) {
+    /// A result of an order is held until `until`, or until it is released.
+    pub(super) fn hold(
+        &mut self,
+        key: &OrderKey,
+        maker: &str,
+        handle: &ResultHandle,
+        bytes: u64,
+        until: Millis,
+    ) {
         self.reserve(maker, bytes);
         let held = Held {
+            key: key.clone(),
             maker: maker.to_owned(),
             bytes,
             until,
@@ -57,6 +78,14 @@
         }
     }
 
+    /// The orders that `is_theirs` holds for are not wanted any more: nobody will
+    /// release their results.
+    pub(super) fn release_of(&mut self, is_theirs: impl Fn(&OrderKey) -> bool) {
+        let theirs = self.held.iter().filter(|(_, held)| is_theirs(&held.key));
+        let handles: Vec<ResultHandle> = theirs.map(|(handle, _)| handle.clone()).collect();
+        self.release(&handles);
+    }
+
     /// What must be freed at the makers.
     pub(super) fn take_releases(&mut self) -> Vec<ResultHandle> {
         std::mem::take(&mut self.releases)
@@ -64,6 +93,7 @@
 
     /// Forgets results that their makers no longer keep.
     pub(super) fn expire(&mut self, now: Millis) {
+        self.foreign.retain(|_, (_, until)| *until > now);
         let over = self.held.iter().filter(|(_, held)| held.until <= now);
         let over: Vec<ResultHandle> = over.map(|(handle, _)| handle.clone()).collect();
         for handle in over {
--- a/crates/serving/tests/batcher.rs
+++ b/crates/serving/tests/batcher.rs
@@ -370,3 +370,39 @@
     assert_eq!(backlog(&batcher, 1, 20), both);
     assert_eq!(backlog(&batcher, 1, 4_100), 0);
 }
+
+#[test]
+fn after_a_change_of_owner_room_is_left_and_inputs_last() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher.take_over("encode", &table, 0);
+    let mut large = work(1, 4);
+    let pieces = large.pieces.iter_mut();
+    pieces.for_each(|piece| piece.result_bytes = 150_000);
+    batcher.submit(key(1), large, &table, 0).expect("taken");
+    let first = batcher.next_calls(&table, 0).remove(0);
+    assert_eq!(first.pieces.len(), 2);
+    batcher.call_ended(first.call, made(&first), 300);
+    let second = batcher.next_calls(&table, 1_000).remove(0);
+    assert_eq!(second.pieces.len(), 2);
+    assert!(batcher.inputs_read(1_200).is_empty());
+}
+
+#[test]
+fn orders_of_a_process_that_is_gone_end_and_free_their_room() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 2), &table, 0)
+        .expect("taken");
+    let first = batcher.next_calls(&table, 0).remove(0);
+    assert_eq!(batcher.call_ended(first.call, made(&first), 260).len(), 1);
+    batcher
+        .submit(key(2), work(2, 2), &table, 300)
+        .expect("taken");
+    batcher
+        .submit(key(9), work(9, 2), &table, 300)
+        .expect("taken");
+    batcher.forget_process(&"n1".into(), 9);
+    assert_eq!(batcher.take_releases().len(), 2);
+    let next = batcher.next_calls(&table, 310).remove(0);
+    assert!(next.pieces.iter().all(|(piece, _)| piece.request == "r9"));
+}
