Let the leader deal batched services to nodes that keep them

Change: the view names the owner of each batched service. The leader deals services by rendezvous hash, an owner keeps them until it leaves or stops; a leader without a memory listens for 1 s before it deals, and nodes go on with the owners that they know. Hash order stays as the fallback where the named owner gives no sign.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,7 @@
 //! changes and orders to engines (replicated), and the view of live nodes and leaving machines (held
 //! by the leader, rebuilt after an election).
 
+pub mod batch_owners;
 pub mod change;
 pub mod configuration_state;
 pub mod control_state;
@@ -12,6 +13,7 @@
 pub mod update;
 pub mod view;
 
+pub use batch_owners::BatchOwners;
 pub use change::{ChangeOutcome, ChangeRequest};
 pub use configuration_state::ConfigurationState;
 pub use control_state::{ControlCommand, ControlState};
--- a/crates/control/src/membership_table.rs
+++ b/crates/control/src/membership_table.rs
@@ -1,10 +1,15 @@
 //! The leader's table of nodes, each with a lease renewed by its heartbeats.
 
+use crate::batch_owners::{self, BatchOwners};
 use crate::view::{merge_machine, ClusterView, MachineState, NodeReport, NodeStatus, ViewVersion};
 use silversail_consensus::Millis;
 use silversail_model::NodeName;
 use std::collections::BTreeMap;
 
+/// How long a leader that knew no view listens before it deals services, in
+/// milliseconds: the nodes' heartbeats come within that time.
+const DEALS_AFTER: Millis = 1_000;
+
 struct Lease {
     status: NodeStatus,
     expires_at: Millis,
@@ -17,6 +22,9 @@
     lease_duration: Millis,
     leases: BTreeMap<NodeName, Lease>,
     machines: Vec<MachineState>,
+    batch_owners: BatchOwners,
+    /// From when on services are dealt.
+    deals_from: Millis,
     version: ViewVersion,
 }
 
@@ -34,10 +42,16 @@
                 (status.node.clone(), lease)
             })
             .collect();
+        // A leader without a memory hears of the nodes first; they go on with the
+        // owners that they know.
+        let knows_nodes = !last_view.nodes.is_empty();
+        let deals_from = if knows_nodes { now } else { now + DEALS_AFTER };
         Self {
             lease_duration,
             leases,
             machines: last_view.machines.clone(),
+            batch_owners: last_view.batch_owners.clone(),
+            deals_from,
             version: ViewVersion { term, sequence: 1 },
         }
     }
@@ -85,6 +99,21 @@
         }
     }
 
+    /// Deals the services that are batched over the usable nodes.
+    pub fn deal_services(&mut self, services: &[String], now: Millis) {
+        if now < self.deals_from {
+            return;
+        }
+        let leases = self.leases.values();
+        let usable: Vec<&NodeName> = leases
+            .filter(|lease| lease.status.usable)
+            .map(|lease| &lease.status.node)
+            .collect();
+        if batch_owners::deal(&mut self.batch_owners, services, &usable) {
+            self.version.sequence += 1;
+        }
+    }
+
     /// The current view.
     pub fn view(&self) -> ClusterView {
         ClusterView {
@@ -95,6 +124,7 @@
                 .map(|lease| lease.status.clone())
                 .collect(),
             machines: self.machines.clone(),
+            batch_owners: self.batch_owners.clone(),
         }
     }
 
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -1,5 +1,6 @@
 //! The view of the cluster that flows from the leader to every node.
 
+use crate::batch_owners::BatchOwners;
 use serde::{Deserialize, Serialize};
 use silversail_model::{NodeName, Revision, TrafficVersion};
 
@@ -70,6 +71,8 @@
     pub nodes: Vec<NodeStatus>,
     /// Machines that are, or were, leaving.
     pub machines: Vec<MachineState>,
+    /// Which node batches which service.
+    pub batch_owners: BatchOwners,
 }
 
 impl ClusterView {
@@ -80,6 +83,11 @@
             .any(|one| one.node == *node && one.incarnation == incarnation)
     }
 
+    /// Whether callers may be sent to `node`.
+    pub fn is_usable(&self, node: &NodeName) -> bool {
+        self.usable_nodes().any(|one| one.node == *node)
+    }
+
     /// Addresses that callers may use.
     pub fn usable_nodes(&self) -> impl Iterator<Item = &NodeStatus> {
         self.nodes.iter().filter(|one| one.usable)
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -130,3 +130,44 @@
     assert!(!applied.apply(ahead));
     assert_eq!(applied.revision(), None);
 }
+
+fn report_of(node: &str, stopping: bool) -> NodeReport {
+    NodeReport {
+        node: node.into(),
+        ..report(1, stopping)
+    }
+}
+
+#[test]
+fn a_node_keeps_its_services_until_it_leaves_and_does_not_get_them_back() {
+    let services: Vec<String> = ["s1", "s2", "s3"].map(str::to_owned).into();
+    let mut table = MembershipTable::new(1, &ClusterView::default(), 1_000, 0);
+    let all = ["n1", "n2", "n3", "n4"];
+    for node in all {
+        table.report(&report_of(node, false), 900);
+    }
+    table.deal_services(&services, 900);
+    assert!(table.view().batch_owners.is_empty(), "it listens first");
+    table.deal_services(&services, 1_000);
+    let dealt = table.view().batch_owners;
+    assert_eq!(dealt.len(), 3);
+    let version = table.version();
+    table.deal_services(&services, 1_100);
+    assert_eq!(table.version(), version);
+    // One stops: only its services move, and they stay when it is back.
+    let stopped = dealt["s1"].clone();
+    table.report(&report_of(stopped.as_str(), true), 1_200);
+    table.deal_services(&services, 1_200);
+    let moved = table.view().batch_owners;
+    assert!(moved.values().all(|owner| *owner != stopped));
+    for (service, owner) in &dealt {
+        assert!(*owner == stopped || moved[service] == *owner);
+    }
+    table.report(&report_of(stopped.as_str(), false), 1_300);
+    table.deal_services(&services, 1_300);
+    assert_eq!(table.view().batch_owners, moved);
+    // The next leader keeps them.
+    let mut next = MembershipTable::new(2, &table.view(), 1_000, 2_000);
+    next.deal_services(&services, 2_000);
+    assert_eq!(next.view().batch_owners, moved);
+}
--- a/crates/daemon/src/gateway/owners.rs
+++ b/crates/daemon/src/gateway/owners.rs
@@ -1,14 +1,10 @@
-//! Which node batches which service: dealt over the usable nodes by rendezvous
-//! hash, so that every node with the same view names the same, and only the
-//! services of a node that leaves move.
+//! Which node batches which service, and which of those nodes give no sign.
 
 use silversail_consensus::Millis;
+use silversail_control::batch_owners::first_for_service;
 use silversail_control::ClusterView;
 use silversail_model::NodeName;
-use silversail_serving::selection::rank;
-use std::collections::hash_map::DefaultHasher;
 use std::collections::BTreeMap;
-use std::hash::{Hash, Hasher};
 
 /// A batching node that owes an answer and gave no sign for so long is asked, in
 /// milliseconds; it answers at once.
@@ -19,8 +15,8 @@
 /// How long it is passed over, in milliseconds.
 const PASSED_OVER_FOR: Millis = 2_500;
 
-/// The node that batches `service` by `view`, `is_excluded` ones left out; `own`
-/// where none remains of those in the view. None where the view names no usable
+/// The node that batches `service`: the one that `view` names, or, where that one is not
+/// usable or `is_excluded`, the first of the others; `own` where none remains. None where the view names no usable
 /// node: many nodes that batch alone, each with few pieces, would keep all makers
 /// busy.
 pub fn batch_owner(
@@ -29,14 +25,12 @@
     own: &NodeName,
     is_excluded: impl Fn(&NodeName) -> bool,
 ) -> Option<NodeName> {
-    let mut hasher = DefaultHasher::new();
-    service.hash(&mut hasher);
-    let key = hasher.finish();
     let mut nodes = view.usable_nodes().map(|status| &status.node).peekable();
     nodes.peek()?;
-    let owner = nodes
-        .filter(|node| !is_excluded(node))
-        .max_by_key(|node| rank(key, node.as_str()));
+    let named = view.batch_owners.get(service);
+    let named = named.filter(|node| view.is_usable(node) && !is_excluded(node));
+    let others = nodes.filter(|node| !is_excluded(node));
+    let owner = named.or_else(|| first_for_service(others, service));
     Some(owner.unwrap_or(own).clone())
 }
 
--- a/crates/daemon/src/session/node_state.rs
+++ b/crates/daemon/src/session/node_state.rs
@@ -86,6 +86,11 @@
             .retain(|node| told.iter().all(|status| status.node != *node));
         let carried = &self.carried;
         let former = std::mem::take(&mut self.view.nodes);
+        // A leader deals services once it has heard of the nodes.
+        let former_owners = std::mem::take(&mut self.view.batch_owners);
+        for (service, owner) in former_owners {
+            view.batch_owners.entry(service).or_insert(owner);
+        }
         let kept = former
             .into_iter()
             .filter(|status| carried.contains(&status.node));
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -126,6 +126,7 @@
             table.report(report, now);
         }
         table.expire(now);
+        table.deal_services(&batched_services(&self.setup.machine.borrow()), now);
         if table.version() != self.sent_version {
             self.view = table.view();
             self.sent_version = self.view.version;
@@ -358,3 +359,15 @@
         }
     }
 }
+
+/// Names of the services that are batched, by the newest traffic configuration.
+fn batched_services(control: &ControlState) -> Vec<String> {
+    let Some(published) = &control.published else {
+        return Vec::new();
+    };
+    let services = published.traffic.services.iter();
+    services
+        .filter(|service| service.batch.is_some())
+        .map(|service| service.name.clone())
+        .collect()
+}
--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -18,6 +18,7 @@
         version: ViewVersion::default(),
         nodes: (0..nodes).map(status).collect(),
         machines: Vec::new(),
+        batch_owners: Default::default(),
     }
 }
 
@@ -72,3 +73,16 @@
     // It is asked again before it is passed over.
     assert_eq!(watch.look(&node, 1_000, 2_400), OwnerStep::Ask);
 }
+
+#[test]
+fn the_owner_that_the_leader_named_is_taken_while_it_may_be_used() {
+    let mut view = view(4);
+    let by_hash = owner(&view, "s");
+    let named: NodeName = if by_hash == "n0".into() { "n1" } else { "n0" }.into();
+    view.batch_owners.insert("s".into(), named.clone());
+    assert_eq!(owner(&view, "s"), named);
+    let others = batch_owner(&view, "s", &"own".into(), |node| *node == named);
+    assert_eq!(others, Some(by_hash.clone()));
+    view.nodes.retain(|status| status.node != named);
+    assert_eq!(owner(&view, "s"), by_hash);
+}
--- a/crates/daemon/tests/views.rs
+++ b/crates/daemon/tests/views.rs
@@ -16,6 +16,7 @@
         version: ViewVersion { term, sequence },
         nodes: nodes.iter().map(status).collect(),
         machines: Vec::new(),
+        batch_owners: Default::default(),
     }
 }
 
@@ -61,3 +62,18 @@
     assert!(state.take_view(view(3, 2, &ALL[..1]), 3_100));
     assert_eq!(usable(&state), ["n1"]);
 }
+
+#[test]
+fn owners_last_until_a_new_leader_names_others() {
+    let mut state = NodeState::default();
+    let mut first = view(2, 9, &ALL);
+    first.batch_owners.insert("s".into(), "n3".into());
+    assert!(state.take_view(first, 1_000));
+    assert!(state.take_view(view(3, 1, &ALL[..1]), 5_000));
+    let owner = |state: &NodeState| batch_owner(&state.view, "s", &"own".into(), |_| false);
+    assert_eq!(owner(&state), Some("n3".into()));
+    let mut next = view(3, 2, &ALL);
+    next.batch_owners.insert("s".into(), "n1".into());
+    assert!(state.take_view(next, 6_000));
+    assert_eq!(owner(&state), Some("n1".into()));
+}
