Let orders with much to fetch wait up to 200 ms for a maker in the zone of it

Each of six pieces of the last phase fetches all results of the phase before; where the makers of that zone were at work, any idle one elsewhere got the order at once.

Change: an order that had better be made in a zone waits up to 200 ms, half of a call, for a maker there, as long as it can still end when it is wanted.

--- a/crates/serving/src/batcher/order.rs
+++ b/crates/serving/src/batcher/order.rs
@@ -6,6 +6,9 @@
 
 /// A lower rank lets a phase wait longer by this much, in milliseconds.
 const RANK_STEP: Millis = 1_000;
+/// How long an order waits for a maker in the zone where it had better be made, in
+/// milliseconds: about half of a call.
+const NEAR_WAIT: Millis = 200;
 /// An order that comes too late for its objective waits longer by this much, in
 /// milliseconds, so that it does not make others late too.
 const LATE_STEP: Millis = 2_500;
@@ -29,6 +32,8 @@
     pub(super) wanted_at: Millis,
     /// When the request ends.
     pub(super) deadline: Millis,
+    /// Until when it waits for a maker in the zone where it had better be made.
+    waits_near_until: Millis,
     calls: Vec<u32>,
     /// When its last waiting piece went into a call; none while pieces wait.
     pub(super) all_called_at: Option<Millis>,
@@ -45,6 +50,7 @@
             calls: vec![0; work.pieces.len()],
             wanted_at: now + work.wanted_in_ms,
             deadline: now + work.remaining_ms,
+            waits_near_until: now + NEAR_WAIT,
             all_called_at: None,
             told_inputs_read: false,
             is_at_risk: false,
@@ -86,6 +92,16 @@
         !self.work.zone.is_empty() && self.work.zone != zone
     }
 
+    /// Whether it may be made in `zone` at `now`: for a while it waits for a maker where
+    /// less has to be moved, if it can still end when it is wanted. A call takes
+    /// `call_ms`.
+    pub(super) fn may_go_to(&self, zone: &str, call_ms: Millis, now: Millis) -> bool {
+        if !self.is_far_from(zone) || now >= self.waits_near_until {
+            return true;
+        }
+        self.is_late(self.waits_near_until + call_ms)
+    }
+
     pub(super) fn is_waiting(&self) -> bool {
         self.states.contains(&PieceState::Waiting)
     }
--- a/crates/serving/src/batcher/schedule.rs
+++ b/crates/serving/src/batcher/schedule.rs
@@ -34,20 +34,19 @@
         now: Millis,
         calls: &mut Vec<BatchCall>,
     ) {
-        let mut waiting = self.by_urgency(service, "", now);
-        if waiting.is_empty() {
-            return;
-        }
         let spec = self.specs[service].clone();
         let mut idle = self.idle_makers(service, &spec, table, now);
-        while !waiting.is_empty() {
-            let Some(maker) = self.take_maker(&mut idle, &waiting[0], table) else {
+        loop {
+            let waiting = self.by_urgency(service, "", now);
+            let Some(maker) = self.take_maker(&mut idle, &waiting, table, now) else {
                 return;
             };
             // What waits is shared out over the makers that are idle, whole
             // orders to each.
             let share = waiting.len().div_ceil(idle.len() + 1);
-            let near_first = self.by_urgency(service, zone_of(&maker, table), now);
+            let zone = zone_of(&maker, table);
+            let mut near_first = self.by_urgency(service, zone, now);
+            near_first.retain(|key| self.may_go_to(key, zone, now));
             let taken = self.fill(&maker, &spec, &near_first, share);
             if taken.is_empty() {
                 continue;
@@ -56,26 +55,41 @@
             calls.push(self.start(service, &maker, taken, table, now));
             let is_limited = idle.is_empty() && self.waiting_of(service).any(Order::is_waiting);
             self.note_call(service, taken_pieces, is_limited);
-            waiting = self.by_urgency(service, "", now);
         }
     }
 
-    /// Takes the idle maker for the most urgent order: one in the zone where it had
-    /// better be made, else the one with most room.
+    fn may_go_to(&self, key: &OrderKey, zone: &str, now: Millis) -> bool {
+        let order = &self.orders[key];
+        let spec = &self.specs[&order.work.service];
+        let own_call = call_ms(spec, order.waiting_pieces()) as Millis;
+        order.may_go_to(zone, own_call, now)
+    }
+
+    /// Takes the idle maker for the most urgent order that one may have: one in the
+    /// zone where it had better be made, else the one with most room.
     fn take_maker(
         &self,
         idle: &mut Vec<String>,
-        most_urgent: &OrderKey,
+        waiting: &[OrderKey],
         table: &InstanceTable,
+        now: Millis,
     ) -> Option<String> {
-        let order = &self.orders[most_urgent];
-        let near = idle
-            .iter()
-            .rposition(|maker| !order.is_far_from(zone_of(maker, table)));
-        match near {
-            Some(position) => Some(idle.remove(position)),
-            None => idle.pop(),
+        for key in waiting {
+            let order = &self.orders[key];
+            let near = idle
+                .iter()
+                .rposition(|maker| !order.is_far_from(zone_of(maker, table)));
+            if let Some(position) = near {
+                return Some(idle.remove(position));
+            }
+            let any = idle
+                .iter()
+                .rposition(|maker| self.may_go_to(key, zone_of(maker, table), now));
+            if let Some(position) = any {
+                return Some(idle.remove(position));
+            }
         }
+        None
     }
 
     /// Orders with waiting pieces, the most urgent first. For a maker in `zone`,
--- a/crates/serving/tests/batcher.rs
+++ b/crates/serving/tests/batcher.rs
@@ -406,3 +406,40 @@
     let next = batcher.next_calls(&table, 310).remove(0);
     assert!(next.pieces.iter().all(|(piece, _)| piece.request == "r9"));
 }
+
+#[test]
+fn an_order_with_time_waits_a_little_for_a_maker_in_its_zone() {
+    let (table, mut batcher) = (table(&[("s1", "a"), ("s2", "b")]), batcher());
+    let order = |request, wanted_in_ms| {
+        let mut order = work(request, 2);
+        order.zone = "a".into();
+        order.wanted_in_ms = wanted_in_ms;
+        order
+    };
+    batcher
+        .submit(key(1), order(1, 2_000), &table, 0)
+        .expect("taken");
+    let near = batcher.next_calls(&table, 0).remove(0);
+    assert_eq!(near.instance, "s1");
+    batcher
+        .submit(key(2), order(2, 2_000), &table, 100)
+        .expect("taken");
+    assert!(batcher.next_calls(&table, 100).is_empty());
+    // One without time to wait goes elsewhere at once.
+    batcher
+        .submit(key(3), order(3, 300), &table, 100)
+        .expect("taken");
+    let far = batcher.next_calls(&table, 100);
+    assert_eq!(far[0].instance, "s2");
+    assert!(far[0].pieces.iter().all(|(piece, _)| piece.request == "r3"));
+    batcher.call_ended(near.call, made(&near), 260);
+    let next = batcher.next_calls(&table, 260).remove(0);
+    assert_eq!((next.instance.as_str(), next.pieces.len()), ("s1", 2));
+    // The wait has an end.
+    batcher
+        .submit(key(4), order(4, 2_000), &table, 270)
+        .expect("taken");
+    batcher.call_ended(far[0].call, made(&far[0]), 360);
+    assert!(batcher.next_calls(&table, 360).is_empty());
+    assert_eq!(batcher.next_calls(&table, 470).remove(0).instance, "s2");
+}
