--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -114,7 +114,7 @@
     BatchEnded {
         /// The back end.
         backend: String,
-        /// `made`, or why not.
+        /// `made`, or why not: `not_run`, `unreachable`, `unknown`, or how many pieces failed by reason.
         outcome: String,
         /// How long it took.
         took_ms: u64,
@@ -183,7 +183,7 @@
         backend: String,
         /// Its service.
         service: String,
-        /// `ready`, `draining`, `gone`, `suspect`, `full` or `trusted`.
+        /// `ready`, `draining`, `gone`, `suspect`, `full`, `slow` or `trusted`.
         state: String,
         /// What it was learnt from.
         source: String,
