--- a/crates/control/src/batch_owners.rs
+++ b/crates/control/src/batch_owners.rs
@@ -1,4 +1,4 @@
-//! Which node batches which service. The leader deals the services over the usable
+//! Which node batches which service. The leader assigns the services to the usable
 //! nodes and lets a node keep what it has: an owner that comes back after a restart
 //! does not take its services from the node that has them meanwhile, as two nodes that
 //! batch one service do not know of each other's calls and results.
@@ -24,9 +24,9 @@
     })
 }
 
-/// Deals `services` over the `usable` nodes; owners that are usable keep what they have.
+/// Assigns `services` to the `usable` nodes; owners that are usable keep what they have.
 /// True when something changed.
-pub fn deal(owners: &mut BatchOwners, services: &[String], usable: &[&NodeName]) -> bool {
+pub fn assign(owners: &mut BatchOwners, services: &[String], usable: &[&NodeName]) -> bool {
     let mut next = BatchOwners::new();
     for service in services {
         let kept = owners.get(service).filter(|owner| usable.contains(owner));
--- a/crates/control/src/membership_table.rs
+++ b/crates/control/src/membership_table.rs
@@ -6,9 +6,9 @@
 use silversail_model::NodeName;
 use std::collections::BTreeMap;
 
-/// How long a leader that knew no view listens before it deals services, in
+/// How long a leader that knew no view listens before it assigns services, in
 /// milliseconds: the nodes' heartbeats come within that time.
-const DEALS_AFTER: Millis = 1_000;
+const ASSIGNS_AFTER: Millis = 1_000;
 
 struct Lease {
     status: NodeStatus,
@@ -23,8 +23,8 @@
     leases: BTreeMap<NodeName, Lease>,
     machines: Vec<MachineState>,
     batch_owners: BatchOwners,
-    /// From when on services are dealt.
-    deals_from: Millis,
+    /// From when on services are assigned.
+    assigns_from: Millis,
     version: ViewVersion,
 }
 
@@ -45,13 +45,17 @@
         // A leader without a memory hears of the nodes first; they go on with the
         // owners that they know.
         let knows_nodes = !last_view.nodes.is_empty();
-        let deals_from = if knows_nodes { now } else { now + DEALS_AFTER };
+        let assigns_from = if knows_nodes {
+            now
+        } else {
+            now + ASSIGNS_AFTER
+        };
         Self {
             lease_duration,
             leases,
             machines: last_view.machines.clone(),
             batch_owners: last_view.batch_owners.clone(),
-            deals_from,
+            assigns_from,
             version: ViewVersion { term, sequence: 1 },
         }
     }
@@ -99,9 +103,9 @@
         }
     }
 
-    /// Deals the services that are batched over the usable nodes.
-    pub fn deal_services(&mut self, services: &[String], now: Millis) {
-        if now < self.deals_from {
+    /// Assigns the services that are batched to the usable nodes.
+    pub fn assign_services(&mut self, services: &[String], now: Millis) {
+        if now < self.assigns_from {
             return;
         }
         let leases = self.leases.values();
@@ -109,7 +113,7 @@
             .filter(|lease| lease.status.usable)
             .map(|lease| &lease.status.node)
             .collect();
-        if batch_owners::deal(&mut self.batch_owners, services, &usable) {
+        if batch_owners::assign(&mut self.batch_owners, services, &usable) {
             self.version.sequence += 1;
         }
     }
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -146,28 +146,28 @@
     for node in all {
         table.report(&report_of(node, false), 900);
     }
-    table.deal_services(&services, 900);
+    table.assign_services(&services, 900);
     assert!(table.view().batch_owners.is_empty(), "it listens first");
-    table.deal_services(&services, 1_000);
-    let dealt = table.view().batch_owners;
-    assert_eq!(dealt.len(), 3);
+    table.assign_services(&services, 1_000);
+    let assigned = table.view().batch_owners;
+    assert_eq!(assigned.len(), 3);
     let version = table.version();
-    table.deal_services(&services, 1_100);
+    table.assign_services(&services, 1_100);
     assert_eq!(table.version(), version);
     // One stops: only its services move, and they stay when it is back.
-    let stopped = dealt["s1"].clone();
+    let stopped = assigned["s1"].clone();
     table.report(&report_of(stopped.as_str(), true), 1_200);
-    table.deal_services(&services, 1_200);
+    table.assign_services(&services, 1_200);
     let moved = table.view().batch_owners;
     assert!(moved.values().all(|owner| *owner != stopped));
-    for (service, owner) in &dealt {
+    for (service, owner) in &assigned {
         assert!(*owner == stopped || moved[service] == *owner);
     }
     table.report(&report_of(stopped.as_str(), false), 1_300);
-    table.deal_services(&services, 1_300);
+    table.assign_services(&services, 1_300);
     assert_eq!(table.view().batch_owners, moved);
     // The next leader keeps them.
     let mut next = MembershipTable::new(2, &table.view(), 1_000, 2_000);
-    next.deal_services(&services, 2_000);
+    next.assign_services(&services, 2_000);
     assert_eq!(next.view().batch_owners, moved);
 }
--- a/crates/daemon/src/session/node_state.rs
+++ b/crates/daemon/src/session/node_state.rs
@@ -86,7 +86,7 @@
             .retain(|node| told.iter().all(|status| status.node != *node));
         let carried = &self.carried;
         let former = std::mem::take(&mut self.view.nodes);
-        // A leader deals services once it has heard of the nodes.
+        // A leader assigns services once it has heard of the nodes.
         let former_owners = std::mem::take(&mut self.view.batch_owners);
         for (service, owner) in former_owners {
             view.batch_owners.entry(service).or_insert(owner);
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -126,7 +126,7 @@
             table.report(report, now);
         }
         table.expire(now);
-        table.deal_services(&batched_services(&self.setup.machine.borrow()), now);
+        table.assign_services(&batched_services(&self.setup.machine.borrow()), now);
         if table.version() != self.sent_version {
             self.view = table.view();
             self.sent_version = self.view.version;
