--- a/crates/daemon/src/gateway/owners.rs
+++ b/crates/daemon/src/gateway/owners.rs
@@ -16,9 +16,10 @@
 const PASSED_OVER_FOR: Millis = 2_500;
 
 /// The node that batches `service`: the one that `view` names, or, where that one is not
-/// usable or `is_excluded`, the first of the others; `own` where none remains. None where the view names no usable
-/// node: many nodes that batch alone, each with few pieces, would keep all makers
-/// busy.
+/// usable or `is_excluded`, the first of the others; `own` where none remains.
+///
+/// None where the view names no usable node: many nodes that batch alone, each with few
+/// pieces, would keep all makers busy.
 pub fn batch_owner(
     view: &ClusterView,
     service: &str,
