--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -215,6 +215,10 @@
             arrived_at: now,
         };
         self.open.insert(number, open);
+        for name in &call.withheld {
+            let withheld = &self.setup.metrics.withheld_headers;
+            withheld.with_label_values(&[name]).inc();
+        }
         let actions = if self.setup.state.borrow().refusing {
             self.dispatcher.refuse(number, &call, ResultCode::Stopping)
         } else {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -33,6 +33,8 @@
     pub gateway_requests: IntGauge,
     /// Sends of pass-through requests by what came of them.
     pub gateway_sends: IntCounterVec,
+    /// Headers of the system's own that callers sent and that were withheld, by name.
+    pub withheld_headers: IntCounterVec,
     /// Pieces in each batch call.
     pub batch_pieces: Histogram,
     /// Decision lines taken and dropped, by class.
@@ -145,6 +147,11 @@
             stage_cost,
             tokens: counter("silversail_tokens_total", "Tokens generated", &["model"]),
             open_requests: gauge("silversail_open_requests", "Requests under way"),
+            withheld_headers: counter(
+                "silversail_withheld_headers_total",
+                "Headers of the system's own that callers sent and that were withheld",
+                &["name"],
+            ),
             gateway_sends: counter(
                 "silversail_gateway_sends_total",
                 "Sends of pass-through requests",
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -39,6 +39,9 @@
     pub pieces: Vec<u32>,
     /// From what the pieces of phases without inputs are made.
     pub piece_key: String,
+    /// Names of headers that only the system may set and that the caller sent; they
+    /// are withheld from engines.
+    pub withheld: Vec<String>,
 }
 
 /// Why a request can't be read.
