--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod membership_table;
 pub mod order_plan;
 pub mod orders;
+mod packing;
 pub mod published;
+pub mod traffic_update;
 pub mod update;
 pub mod view;
 
@@ -21,5 +23,6 @@
 pub use order_plan::{plan_orders, Holdings, PlannedOrder};
 pub use orders::{Order, OrderAction, OrderBook, OrderCommand, OrderId, OrderReply};
 pub use published::{PublishReply, PublishedTraffic, SharedTraffic};
+pub use traffic_update::{TrafficUpdate, TrafficUpdates, UpdateError};
 pub use update::{AppliedConfiguration, ConfigurationUpdate};
 pub use view::{ClusterView, MachineState, NodeReport, NodeStatus, ViewVersion};
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -6,7 +6,9 @@
 use crate::outbox::SharedOutbox;
 use crate::replica::SharedStatus;
 use silversail_consensus::Millis;
-use silversail_control::{ClusterView, ControlState, MembershipTable, NodeReport, ViewVersion};
+use silversail_control::{
+    ClusterView, ControlState, MembershipTable, NodeReport, TrafficUpdates, ViewVersion,
+};
 use silversail_model::{NodeName, Revision, TrafficVersion};
 use silversail_peer::{
     ListedInstance, Listing, ListingVersion, PeerMessage, SessionHeartbeat, SessionMessage,
@@ -64,6 +66,7 @@
     view: ClusterView,
     table: Option<(u64, MembershipTable)>,
     sent_version: ViewVersion,
+    traffic: TrafficUpdates,
     listing: Option<HeldListing>,
     /// Reads of the list since it was last sent whole.
     unchanged_reads: u32,
@@ -80,6 +83,7 @@
             view: ClusterView::default(),
             table: None,
             sent_version: ViewVersion::default(),
+            traffic: TrafficUpdates::default(),
             listing: None,
             unchanged_reads: 0,
         })
@@ -163,6 +167,7 @@
     /// A node's heartbeat.
     pub fn heartbeat(&mut self, cx: CX![], from: NodeName, heartbeat: SessionHeartbeat) {
         let now = self.now(cx);
+        self.follow_traffic();
         let revision = heartbeat.report.revision;
         let session = Session {
             revision,
@@ -196,8 +201,7 @@
             None => None,
         };
         let newer_view = self.view.version > heartbeat.view;
-        let published = control.published.as_ref().filter(|_| age.is_some());
-        let newer = published.filter(|one| Some(one.version()) > heartbeat.report.traffic);
+        let newer = age.and_then(|_| self.traffic.since(heartbeat.report.traffic));
         SessionReply {
             incarnation: heartbeat.report.incarnation,
             echo: heartbeat.sent_at,
@@ -205,7 +209,7 @@
             revision: machine.revision(),
             update,
             traffic_version: control.published.as_ref().map(|one| one.version()),
-            traffic: newer.cloned(),
+            traffic: newer,
             view: newer_view.then(|| self.view.clone()),
             listing_age: self.listing.as_ref().map(|held| {
                 let age = now.saturating_sub(held.confirmed_at);
@@ -327,25 +331,29 @@
         }
     }
 
+    fn follow_traffic(&mut self) {
+        let control = self.setup.machine.borrow();
+        self.traffic.follow(control.published.as_ref());
+    }
+
     /// The replicated configuration may have changed: nodes get it at once.
     pub fn configuration_applied(&mut self, cx: CX![]) {
         let now = self.now(cx);
         if self.setup.status.borrow().freshness.as_of.is_none() {
             return;
         }
+        self.follow_traffic();
         let control = self.setup.machine.borrow();
         let machine = &control.configuration;
         let current = machine.revision();
-        let published = control.published.as_ref();
         let mut outbox = self.setup.outbox.borrow_mut();
         for (node, session) in &mut self.sessions {
             if now.saturating_sub(session.heard_at) > SESSION_SILENCE {
                 continue;
             }
-            let newer = published.filter(|one| Some(one.version()) > session.traffic);
-            if let Some(traffic) = newer {
+            if let Some(traffic) = self.traffic.since(session.traffic) {
                 session.traffic = Some(traffic.version());
-                let message = SessionMessage::PushTraffic(traffic.clone());
+                let message = SessionMessage::PushTraffic(traffic);
                 outbox.send(node, PeerMessage::Session(message));
             }
             if session.revision == Some(current) {
--- a/crates/daemon/src/session/session_actor.rs
+++ b/crates/daemon/src/session/session_actor.rs
@@ -8,7 +8,7 @@
 use silversail_backend::platform::ListedState;
 use silversail_backend::MachineList;
 use silversail_consensus::Millis;
-use silversail_control::{ConfigurationUpdate, MachineState, NodeReport, SharedTraffic};
+use silversail_control::{ConfigurationUpdate, MachineState, NodeReport, TrafficUpdate};
 use silversail_model::NodeName;
 use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply, SharedListing};
 use stakker::{after, fwd, Fwd, CX};
@@ -208,7 +208,7 @@
     }
 
     /// A traffic configuration that the relay pushed.
-    pub fn push_traffic(&mut self, _: CX![], traffic: SharedTraffic) {
+    pub fn push_traffic(&mut self, _: CX![], traffic: TrafficUpdate) {
         let has_started = self.setup.state.borrow().configuration.revision().is_some();
         if has_started && self.apply_traffic(traffic) {
             fwd!([self.setup.on_change], ());
@@ -223,12 +223,20 @@
         }
     }
 
-    fn apply_traffic(&mut self, traffic: SharedTraffic) -> bool {
+    fn apply_traffic(&mut self, update: TrafficUpdate) -> bool {
         let mut state = self.setup.state.borrow_mut();
         let held = state.traffic_version();
-        if Some(traffic.version()) <= held {
+        if Some(update.version()) <= held {
             return false;
         }
+        let traffic = match update.apply(state.traffic.as_ref()) {
+            Ok(traffic) => traffic,
+            Err(error) => {
+                // The next heartbeat tells the relay what is held here.
+                log::info!(event = "traffic_update_refused", version = update.version(), held = held.unwrap_or_default(); "{error}");
+                return false;
+            }
+        };
         log::info!(event = "traffic_in_force", version = traffic.version(), before = held.unwrap_or_default(), routes = traffic.traffic.routes.len(); "traffic configuration applied");
         state.traffic = Some(traffic);
         true
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -6,13 +6,13 @@
 use serde::{Deserialize, Serialize};
 use silversail_consensus::{JoinRequest, Message, Millis, ReplicaId, Snapshot};
 use silversail_control::{
-    ClusterView, ConfigurationUpdate, NodeReport, SharedTraffic, ViewVersion,
+    ClusterView, ConfigurationUpdate, NodeReport, TrafficUpdate, ViewVersion,
 };
 use silversail_model::{NodeName, Revision, TrafficVersion};
 use std::fmt;
 
 /// Version of the message format; other versions are dropped.
-pub const PROTOCOL_VERSION: u8 = 2;
+pub const PROTOCOL_VERSION: u8 = 3;
 
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -157,7 +157,7 @@
     /// Version of the relay's traffic configuration.
     pub traffic_version: Option<TrafficVersion>,
     /// The relay's traffic configuration, where the node's is older.
-    pub traffic: Option<SharedTraffic>,
+    pub traffic: Option<TrafficUpdate>,
     /// A newer view than the node's.
     pub view: Option<ClusterView>,
     /// Version of the relay's listing, and how long ago the leader last read the
@@ -177,7 +177,7 @@
     /// Relay to node, at once when the configuration changes.
     Push(ConfigurationUpdate),
     /// Relay to node, at once when the traffic configuration changes.
-    PushTraffic(SharedTraffic),
+    PushTraffic(TrafficUpdate),
     /// Leader to relays, and relay to node, at once when the list of back ends
     /// changes.
     Listing(SharedListing),
