Elect a leader at once after all replicas restarted, and tell a leader of an earlier term

Change: a replica that has heard no leader since its start asks for pre-votes every 60 ms. It stands where each voter answers that it neither leads nor hears a leader, or has had its disk emptied, since then no lease can be left; or where a quorum was up for an election timeout without hearing one. Among those with the longest log only the one with the greatest identity is granted, so that votes are not split.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -6,24 +6,86 @@
 use crate::output::Role;
 use crate::progress::Progress;
 use crate::replica::Replica;
+use crate::Millis;
+
+/// How often a replica that has heard no leader since its start asks for votes, in
+/// milliseconds: a few round trips.
+const PRE_VOTE_AFTER_START_EVERY: Millis = 60;
 
 impl Replica {
     pub(crate) fn start_pre_vote(&mut self) {
+        self.reset_election_deadline();
+        self.ask_for_pre_votes(false);
+    }
+
+    /// Whether no leader was heard since the start and it is time to ask.
+    pub(crate) fn is_due_after_start(&self) -> bool {
+        let is_undecided = matches!(self.role, Role::Follower | Role::PreCandidate);
+        is_undecided
+            && self.leader_heard_at.is_none()
+            && self.leader.is_none()
+            && self.now >= self.next_pre_vote_after_start
+    }
+
+    /// After all replicas restarted at once nobody leads, and waiting for a leader's
+    /// silence would be in vain. Where each voter answers that it neither leads nor hears
+    /// a leader, no lease can be left; of the replicas with the longest log the one with
+    /// the greatest identity stands, so that votes are not split.
+    pub(crate) fn start_pre_vote_after_start(&mut self) {
+        self.next_pre_vote_after_start = self.now + PRE_VOTE_AFTER_START_EVERY;
+        self.ask_for_pre_votes(true);
+    }
+
+    fn ask_for_pre_votes(&mut self, after_start: bool) {
         self.role = Role::PreCandidate;
+        self.asks_after_start = after_start;
         self.leader = None;
         self.votes = [self.id].into();
-        self.reset_election_deadline();
-        if self.votes.len() >= self.membership.quorum() {
+        self.unbound_votes = self.votes.clone();
+        if !self.is_unbound() {
+            self.unbound_votes.clear();
+        }
+        if self.has_pre_votes() {
             self.start_election(false);
             return;
         }
         let body = MessageBody::PreVote {
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
+            after_start,
         };
         self.send_to_voters(self.hard_state.term + 1, body);
     }
 
+    /// Whether enough voters would vote for this replica.
+    fn has_pre_votes(&self) -> bool {
+        let quorum = self.membership.quorum();
+        if !self.asks_after_start {
+            return self.votes.len() >= quorum;
+        }
+        let mut voters = self.membership.voters.keys();
+        let all_answered = voters.all(|voter| {
+            let has_granted = self.votes.contains(voter);
+            has_granted || self.emptied.contains(voter)
+        });
+        (all_answered && self.votes.len() >= quorum) || self.unbound_votes.len() >= quorum
+    }
+
+    /// `node` has the replica `present`, which holds nothing yet: former replicas of that
+    /// node went with its disk, and none of them can lead or hear a leader.
+    pub fn note_emptied(&mut self, node: &str, present: ReplicaId) {
+        let voters = self.membership.voters.iter();
+        let former = voters.filter(|(id, of)| of.as_str() == node && **id != present);
+        let former: Vec<ReplicaId> = former.map(|(id, _)| *id).collect();
+        self.emptied.extend(former);
+    }
+
+    /// Whether this replica can't have acknowledged a leader within an election timeout.
+    fn is_unbound(&self) -> bool {
+        let uptime = self.now.saturating_sub(self.started_at);
+        uptime >= self.config.election_timeout && !self.leader_is_alive()
+    }
+
     /// Stands for election. `forced` is set when the leader asked for it, so
     /// that voters need not wait for its silence.
     fn start_election(&mut self, forced: bool) {
@@ -70,32 +132,36 @@
         &mut self,
         from: ReplicaId,
         term: Term,
-        last_index: Index,
-        last_term: Term,
+        (last_term, last_index): (Term, Index),
+        after_start: bool,
     ) {
+        let own = (self.log.last_term(), self.log.last_index(), self.id);
+        let has_precedence = !after_start || (last_term, last_index, from) > own;
         let granted = term > self.hard_state.term
             && !self.leader_is_alive()
+            && has_precedence
             && self.log_is_current(last_index, last_term);
         if term <= self.hard_state.term {
-            // Tells a replica that lags behind which term is current.
-            let body = MessageBody::AppendReply {
-                accepted: false,
-                match_index: 0,
-                round: 0,
-                sent_at: self.stamp(),
-            };
-            self.send(from, self.hard_state.term, body);
+            self.tell_term(from);
             return;
         }
-        self.send(from, term, MessageBody::PreVoteReply { granted });
+        let is_unbound = self.is_unbound();
+        let body = MessageBody::PreVoteReply {
+            granted,
+            is_unbound,
+        };
+        self.send(from, term, body);
     }
 
-    pub(crate) fn on_pre_vote_reply(&mut self, from: ReplicaId, granted: bool) {
+    pub(crate) fn on_pre_vote_reply(&mut self, from: ReplicaId, granted: bool, is_unbound: bool) {
         if self.role != Role::PreCandidate || !granted || !self.membership.is_voter(from) {
             return;
         }
         self.votes.insert(from);
-        if self.votes.len() >= self.membership.quorum() {
+        if is_unbound {
+            self.unbound_votes.insert(from);
+        }
+        if self.has_pre_votes() {
             self.start_election(false);
         }
     }
@@ -115,6 +181,8 @@
             self.hard_state.voted_for = Some(from);
             self.output.writes.hard_state = Some(self.hard_state);
             self.reset_election_deadline();
+            // The candidate gets the time that a leader would get.
+            self.next_pre_vote_after_start = self.now + self.config.election_timeout;
         }
         // The vote must not be forgotten once it is known.
         self.send_after_sync(from, MessageBody::VoteReply { granted });
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -27,11 +27,16 @@
         last_index: Index,
         /// Term of the sender's last entry.
         last_term: Term,
+        /// Whether the sender has heard no leader since it started.
+        after_start: bool,
     },
     /// Answers a pre-vote.
     PreVoteReply {
         /// Whether the vote would be granted.
         granted: bool,
+        /// Whether the sender can't have acknowledged a leader within an election
+        /// timeout: it was up for that long and heard none.
+        is_unbound: bool,
     },
     /// Asks for a vote.
     Vote {
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -32,6 +32,15 @@
     /// Writes handed out and not yet synced: the last index of each.
     pub(crate) writes_pending: VecDeque<Option<(Index, Term)>>,
     pub(crate) election_deadline: Millis,
+    pub(crate) started_at: Millis,
+    /// Whether the pre-votes asked for last are those of a start.
+    pub(crate) asks_after_start: bool,
+    /// When a replica that has heard no leader since its start asks again.
+    pub(crate) next_pre_vote_after_start: Millis,
+    /// Voters that would vote for this replica and can't be bound to a leader.
+    pub(crate) unbound_votes: BTreeSet<ReplicaId>,
+    /// Voters whose disks were emptied: their nodes have other replicas now.
+    pub(crate) emptied: BTreeSet<ReplicaId>,
     /// When a leader of the current term was last heard.
     pub(crate) leader_heard_at: Option<Millis>,
     pub(crate) votes: BTreeSet<ReplicaId>,
@@ -88,6 +97,11 @@
             synced,
             writes_pending: VecDeque::new(),
             election_deadline: 0,
+            started_at: now,
+            asks_after_start: false,
+            next_pre_vote_after_start: now,
+            unbound_votes: BTreeSet::new(),
+            emptied: BTreeSet::new(),
             leader_heard_at: None,
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
@@ -238,8 +252,12 @@
         self.now = self.now.max(now);
         if self.role == Role::Leader {
             self.leader_tick();
-        } else if self.now >= self.election_deadline && self.membership.is_voter(self.id) {
+        } else if !self.membership.is_voter(self.id) {
+            // A learner follows only.
+        } else if self.now >= self.election_deadline {
             self.start_pre_vote();
+        } else if self.is_due_after_start() {
+            self.start_pre_vote_after_start();
         }
     }
 
@@ -341,6 +359,7 @@
         if message.to != self.id {
             return;
         }
+        self.emptied.remove(&message.from);
         if !self.admit_term(&message) {
             return;
         }
@@ -349,8 +368,15 @@
             MessageBody::PreVote {
                 last_index,
                 last_term,
-            } => self.on_pre_vote(from, message.term, last_index, last_term),
-            MessageBody::PreVoteReply { granted } => self.on_pre_vote_reply(from, granted),
+                after_start,
+            } => {
+                let log = (last_term, last_index);
+                self.on_pre_vote(from, message.term, log, after_start);
+            }
+            MessageBody::PreVoteReply {
+                granted,
+                is_unbound,
+            } => self.on_pre_vote_reply(from, granted, is_unbound),
             MessageBody::Vote {
                 last_index,
                 last_term,
@@ -403,11 +429,35 @@
                 if message.term > current {
                     self.become_follower(message.term, None);
                 }
+                self.tell_former_leader(message);
                 message.term == self.hard_state.term
             }
         }
     }
 
+    /// A leader of an earlier term learns the present one and steps down: this replica
+    /// can't follow it any more, and nobody votes for this one while the leader lives.
+    fn tell_former_leader(&mut self, message: &Message) {
+        let leads = matches!(
+            message.body,
+            MessageBody::Append { .. } | MessageBody::InstallSnapshot { .. }
+        );
+        if leads && message.term < self.hard_state.term {
+            self.tell_term(message.from);
+        }
+    }
+
+    /// Tells a replica that lags behind which term is current.
+    pub(crate) fn tell_term(&mut self, to: ReplicaId) {
+        let body = MessageBody::AppendReply {
+            accepted: false,
+            match_index: 0,
+            round: 0,
+            sent_at: self.stamp(),
+        };
+        self.send(to, self.hard_state.term, body);
+    }
+
     pub(crate) fn leader_is_alive(&self) -> bool {
         if self.role == Role::Leader {
             return true;
--- a/crates/consensus/tests/replica.rs
+++ b/crates/consensus/tests/replica.rs
@@ -71,7 +71,15 @@
     one.tick(now);
     one.take_output();
     one.step(
-        message(2, 1, 2, MessageBody::PreVoteReply { granted: true }),
+        message(
+            2,
+            1,
+            2,
+            MessageBody::PreVoteReply {
+                granted: true,
+                is_unbound: true,
+            },
+        ),
         now,
     );
     one.take_output();
