Serve soon after a full restart: eager heartbeats, links renewed, orders that wait for owners

Change: a connection is renewed when its peer is heard with a new process, after owing an answer for a second, or while the connection hangs; nodes send heartbeats every 100 ms until they serve; other owners are pushed; nobody batches a service before the leader has assigned it, which it does after 300 ms; orders wait up to 500 ms for an owner or for makers; an order that a former owner has done is cancelled at the present one; an emptied node tells so.

--- a/crates/control/src/membership_table.rs
+++ b/crates/control/src/membership_table.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeMap;
 
 /// How long a leader that knew no view listens before it assigns services, in
-/// milliseconds: the nodes' heartbeats come within that time.
-const ASSIGNS_AFTER: Millis = 1_000;
+/// milliseconds: nodes that do not serve yet send heartbeats every 100 ms.
+const ASSIGNS_AFTER: Millis = 300;
 
 struct Lease {
     status: NodeStatus,
--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -116,6 +116,7 @@
     pub statuses: BTreeMap<GroupId, SharedStatus>,
     ledger_proposers: Vec<ActorOwn<ProposerActor>>,
     directory: SharedDirectory,
+    outbox: SharedOutbox,
     clock: Clock,
 }
 
@@ -125,6 +126,7 @@
         let from = envelope.from;
         let now = self.clock.millis(now);
         self.directory.borrow_mut().heard(&from, now);
+        self.outbox.borrow_mut().heard(&from, envelope.incarnation);
         match envelope.message {
             PeerMessage::Group { group, message } => self.deliver_to_group(group, from, message),
             PeerMessage::Session(SessionMessage::Reply(reply)) => {
@@ -136,6 +138,9 @@
             PeerMessage::Session(SessionMessage::PushTraffic(traffic)) => {
                 call!([self.session], push_traffic(traffic));
             }
+            PeerMessage::Session(SessionMessage::PushView(view)) => {
+                call!([self.session], push_view(view))
+            }
             PeerMessage::Session(SessionMessage::Listing(listing)) => {
                 call!([self.session], push_listing(listing.clone()));
                 self.deliver_to_relay(from, SessionMessage::Listing(listing));
@@ -166,8 +171,10 @@
             SessionMessage::ListingConfirmed(version) => {
                 call!([voter.relay], listing_confirmed(version));
             }
-            SessionMessage::Reply(_) | SessionMessage::Push(_) | SessionMessage::PushTraffic(_) => {
-            }
+            SessionMessage::Reply(_)
+            | SessionMessage::Push(_)
+            | SessionMessage::PushTraffic(_)
+            | SessionMessage::PushView(_) => {}
         }
     }
 
@@ -277,6 +284,7 @@
         Ok(NodeActors {
             discovery,
             directory: self.context.directory,
+            outbox: self.context.outbox,
             clock: self.context.clock,
             voter,
             control_proposer,
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -15,7 +15,9 @@
 /// Interval of the actor.
 const TICK: Duration = Duration::from_millis(250);
 /// While this young, a process asks all contact addresses at each tick.
-const EAGER_TICKS: u64 = 16;
+const EAGER_TICKS: u64 = 20;
+/// Interval of the actor while this young.
+const EAGER_TICK: Duration = Duration::from_millis(100);
 /// Later it asks one contact address and one known node each so many ticks.
 const TICKS_PER_HELLO: u64 = 8;
 /// Silence after which a replicating node is asked for a sign, in milliseconds.
@@ -56,9 +58,10 @@
         if !self.directory.borrow().is_discovering() {
             return;
         }
-        after!(TICK, [cx], tick());
+        let is_young = self.ticks < EAGER_TICKS;
+        after!(if is_young { EAGER_TICK } else { TICK }, [cx], tick());
         let now = self.clock.millis(cx.now());
-        if self.ticks < EAGER_TICKS {
+        if is_young {
             self.ask_all_addresses();
         } else if self.ticks.is_multiple_of(TICKS_PER_HELLO) {
             self.ask_some();
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -4,6 +4,7 @@
 use crate::gateway::calls::GatewayCalls;
 use crate::gateway::event::{Decision, GatewayEvent};
 use crate::gateway::owners::OwnerWatch;
+use crate::gateway::waiting::WaitingOrders;
 use crate::gateway::works::Works;
 use crate::metrics::Metrics;
 use crate::outbox::SharedOutbox;
@@ -14,7 +15,7 @@
 use silversail_decisions::{DecisionLog, Event as LogEvent};
 use silversail_model::{NodeName, ResultCode};
 use silversail_peer::{ListingVersion, WorkId};
-use silversail_serving::batcher::Batcher;
+use silversail_serving::batcher::{Batcher, OrderKey};
 use silversail_serving::dispatcher::{
     Action, Dispatcher, NotRunReason, RequestNumber, SendOutcome, UnknownReason,
 };
@@ -75,6 +76,10 @@
     pub(super) dispatcher: Dispatcher,
     pub(super) batcher: Batcher,
     pub(super) works: Works,
+    /// Orders of this node whose service has no batching node yet.
+    pub(super) unowned: WaitingOrders<WorkId>,
+    /// Orders that came before this node knew the makers of their service.
+    pub(super) unready: WaitingOrders<OrderKey>,
     pub(super) open: BTreeMap<RequestNumber, OpenRequest>,
     pub(super) owners: BTreeMap<String, NodeName>,
     pub(super) owner_watch: OwnerWatch,
@@ -106,6 +111,8 @@
             dispatcher: Dispatcher::new(&setup.zone, limits, first_work, log.clone()),
             batcher: Batcher::new(log),
             works: Works::default(),
+            unowned: WaitingOrders::default(),
+            unready: WaitingOrders::default(),
             open: BTreeMap::new(),
             owners: BTreeMap::new(),
             owner_watch: OwnerWatch::default(),
@@ -123,7 +130,9 @@
     }
 
     pub(super) fn tick(&mut self, cx: CX![]) {
-        let is_busy = self.dispatcher.open_requests() > 0 || self.batcher.sizes() != (0, 0);
+        let is_busy = self.dispatcher.open_requests() > 0
+            || self.batcher.sizes() != (0, 0)
+            || !self.unready.is_empty();
         let interval = if is_busy { BUSY_TICK } else { IDLE_TICK };
         after!(interval, [cx], tick());
         let now = self.now(cx);
@@ -135,6 +144,7 @@
         self.tell_inputs_read(now);
         self.watch_owners(now);
         self.resubmit(now);
+        self.place_waiting(now);
         self.start_batches(now);
         self.free_results();
     }
@@ -179,6 +189,7 @@
                     call!([relay], list_read(listed.clone()));
                 }
                 self.dispatcher.instances.replace(listed);
+                self.place_waiting(now);
             }
             GatewayEvent::ListFailed(why) => self.list_state(false, &why),
             GatewayEvent::Surface { request, reply } => self.surface(cx, request, reply, now),
--- a/crates/daemon/src/gateway/batching.rs
+++ b/crates/daemon/src/gateway/batching.rs
@@ -8,6 +8,7 @@
 use silversail_model::NodeName;
 use silversail_peer::{PeerMessage, PhaseWork, PieceFailure, ResultHandle, WorkId, WorkMessage};
 use silversail_serving::batcher::{AnnouncedOrder, FinishedOrder, OrderKey};
+use silversail_serving::instances::InstanceTable;
 use stakker::CX;
 use std::collections::BTreeMap;
 
@@ -62,21 +63,23 @@
     }
 
     pub(super) fn submit(&mut self, work: WorkId, request: &str, phase: PhaseWork, now: Millis) {
-        let Some(owner) = self.owner_of(&phase.service) else {
-            let nowhere = Err(PieceFailure::NoBackend);
-            let actions = self.dispatcher.phase_done(work, nowhere, now);
-            self.carry_out(actions, now);
-            return;
-        };
+        let owner = self.owner_of(&phase.service);
         let first = phase.pieces.first();
         self.setup.log.record(LogEvent::PhaseSubmitted {
             request: request.to_owned(),
             phase: first.map_or(0, |piece| piece.phase),
             service: phase.service.clone(),
             pieces: phase.pieces.len(),
-            owner: owner.0.clone(),
+            owner: owner.clone().unwrap_or(NodeName::from("")).0,
             remaining_ms: phase.remaining_ms,
         });
+        match owner {
+            Some(owner) => self.give(work, owner, phase, now),
+            None => self.unowned.add(work, phase, now),
+        }
+    }
+
+    fn give(&mut self, work: WorkId, owner: NodeName, phase: PhaseWork, now: Millis) {
         self.works
             .submitted(work, owner.clone(), phase.clone(), now);
         self.hand_over(work, &owner, phase, now);
@@ -100,7 +103,42 @@
         self.take_order(key, phase, now);
     }
 
+    /// Places the orders that waited for a batching node or for makers; those that waited
+    /// too long fail.
+    pub(super) fn place_waiting(&mut self, now: Millis) {
+        let owners = &self.owners;
+        let due = self
+            .unowned
+            .take_due(|service| owners.contains_key(service), now);
+        for (work, phase) in due {
+            match self.owner_of(&phase.service) {
+                Some(owner) => self.give(work, owner, phase, now),
+                None => {
+                    let nowhere = Err(PieceFailure::NoBackend);
+                    let actions = self.dispatcher.phase_done(work, nowhere, now);
+                    self.carry_out(actions, now);
+                }
+            }
+        }
+        let makers = &self.dispatcher.instances;
+        let is_ready = |service: &str| knows_makers(self.traffic_version, makers, service);
+        for (key, phase) in self.unready.take_due(is_ready, now) {
+            self.batch_order(key, phase, now);
+        }
+    }
+
+    /// Takes an order for this node to batch. A process that has just started does not
+    /// know all makers yet: the order waits a while for them.
     pub(super) fn take_order(&mut self, key: OrderKey, phase: PhaseWork, now: Millis) {
+        let makers = &self.dispatcher.instances;
+        if knows_makers(self.traffic_version, makers, &phase.service) {
+            self.batch_order(key, phase, now);
+        } else {
+            self.unready.add(key, phase, now);
+        }
+    }
+
+    fn batch_order(&mut self, key: OrderKey, phase: PhaseWork, now: Millis) {
         let table = &self.dispatcher.instances;
         let service = phase.service.clone();
         if let Err(failure) = self.batcher.submit(key.clone(), phase, table, now) {
@@ -134,16 +172,27 @@
 
     /// Drops an order that was given or announced.
     pub(super) fn cancel(&mut self, work: WorkId, service: &str) {
-        let given_to = self.works.ended(work);
-        let Some(owner) = given_to.or_else(|| self.owner_of(service)) else {
-            return;
-        };
-        if owner != self.node {
-            self.send_work(&owner, WorkMessage::Cancel { work });
+        if self.unowned.remove(&work) {
             return;
         }
-        let node = self.node.clone();
-        self.batcher.cancel(&OrderKey { node, work });
+        let given_to = self.works.ended(work);
+        if let Some(owner) = given_to.or_else(|| self.owner_of(service)) {
+            self.cancel_at(&owner, work);
+        }
+    }
+
+    fn cancel_at(&mut self, owner: &NodeName, work: WorkId) {
+        if *owner == self.node {
+            let node = self.node.clone();
+            self.drop_order(&OrderKey { node, work });
+        } else {
+            self.send_work(owner, WorkMessage::Cancel { work });
+        }
+    }
+
+    fn drop_order(&mut self, key: &OrderKey) {
+        self.unready.remove(key);
+        self.batcher.cancel(key);
     }
 
     pub(super) fn release(&mut self, service: String, handles: Vec<ResultHandle>) {
@@ -208,7 +257,7 @@
                 self.work_done(&from, work, result, now);
             }
             WorkMessage::InputsRead { work } => self.inputs_read(work, now),
-            WorkMessage::Cancel { work } => self.batcher.cancel(&OrderKey { node: from, work }),
+            WorkMessage::Cancel { work } => self.drop_order(&OrderKey { node: from, work }),
             WorkMessage::Release { handles } => self.batcher.release(&handles),
         }
         self.start_batches(now);
@@ -222,7 +271,12 @@
         result: Result<Vec<ResultHandle>, PieceFailure>,
         now: Millis,
     ) {
-        let is_wanted = self.works.ended(work).is_some() && self.dispatcher.knows_work(work);
+        let given_to = self.works.ended(work);
+        if let Some(present) = given_to.as_ref().filter(|present| *present != owner) {
+            // A former owner has done it after all.
+            self.cancel_at(present, work);
+        }
+        let is_wanted = given_to.is_some() && self.dispatcher.knows_work(work);
         if !is_wanted {
             // Cancelled, or given to another node meanwhile.
             self.release_at(owner, result.unwrap_or_default());
@@ -273,8 +327,8 @@
             let Some((former, owner, phase)) = self.works.renew(work, owner_of, now) else {
                 continue;
             };
-            if former != owner && former != self.node {
-                self.send_work(&former, WorkMessage::Cancel { work });
+            if former != owner {
+                self.cancel_at(&former, work);
             }
             self.hand_over(work, &owner, phase, now);
         }
@@ -313,3 +367,9 @@
         }
     }
 }
+
+/// Whether this node can batch for a service: it has a configuration and a list that
+/// names makers.
+fn knows_makers(traffic: Option<u64>, makers: &InstanceTable, service: &str) -> bool {
+    traffic.is_some() && makers.of_service(service).next().is_some()
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod owners;
 pub mod runtime;
 pub mod surface;
+pub mod waiting;
 pub mod works;
 
 pub use actor::{GatewayActor, GatewaySetup};
--- a/crates/daemon/src/gateway/owners.rs
+++ b/crates/daemon/src/gateway/owners.rs
@@ -18,8 +18,9 @@
 /// The node that batches `service`: the one that `view` names, or, where that one is not
 /// usable or `is_excluded`, the first of the others; `own` where none remains.
 ///
-/// None where the view names no usable node: many nodes that batch alone, each with few
-/// pieces, would keep all makers busy.
+/// None where the view names no usable node, as many nodes that batch alone, each with few
+/// pieces, would keep all makers busy; and none before the leader has assigned the service,
+/// as views that name few nodes yet would lead each node to another owner.
 pub fn batch_owner(
     view: &ClusterView,
     service: &str,
@@ -28,8 +29,8 @@
 ) -> Option<NodeName> {
     let mut nodes = view.usable_nodes().map(|status| &status.node).peekable();
     nodes.peek()?;
-    let named = view.batch_owners.get(service);
-    let named = named.filter(|node| view.is_usable(node) && !is_excluded(node));
+    let assigned = view.batch_owners.get(service)?;
+    let named = Some(assigned).filter(|node| view.is_usable(node) && !is_excluded(node));
     let others = nodes.filter(|node| !is_excluded(node));
     let owner = named.or_else(|| first_for_service(others, service));
     Some(owner.unwrap_or(own).clone())
--- a/crates/daemon/src/outbox.rs
+++ b/crates/daemon/src/outbox.rs
@@ -80,6 +80,11 @@
         self.transport.reconnect(node);
     }
 
+    /// A message of a node's process came.
+    pub fn heard(&mut self, from: &NodeName, incarnation: u64) {
+        self.transport.heard(from, incarnation);
+    }
+
     fn envelope(&self, message: PeerMessage) -> Envelope {
         Envelope {
             version: PROTOCOL_VERSION,
--- a/crates/daemon/src/replica/actor.rs
+++ b/crates/daemon/src/replica/actor.rs
@@ -23,6 +23,9 @@
 const TICK: Duration = Duration::from_millis(30);
 /// Ticks between probes and join requests.
 const TICKS_PER_PROBE: u64 = 8;
+/// Ticks at which a replica without a state tells so: after a restart of all, the
+/// others' election waits to hear it. Other nodes are known 10 to 30 ms after a start.
+const TICKS_OF_EMPTIED: [u64; 4] = [1, 2, 4, 6];
 /// Least applied entries after which a snapshot replaces the log.
 const COMPACT_AFTER_ENTRIES: usize = 2_000;
 /// A snapshot of so many bytes is worth one more entry of the log, so that a
@@ -140,6 +143,9 @@
         if let State::Member(replica) = &mut self.state {
             replica.tick(now);
         }
+        if TICKS_OF_EMPTIED.contains(&self.ticks) {
+            self.tell_emptied();
+        }
         if self.ticks.is_multiple_of(TICKS_PER_PROBE) {
             self.probe_or_join(now);
             self.change_membership(now);
--- a/crates/daemon/src/replica/joining.rs
+++ b/crates/daemon/src/replica/joining.rs
@@ -16,6 +16,11 @@
     ) {
         match message {
             FormationMessage::Probe { replica } => self.answer_probe(from, replica),
+            FormationMessage::Emptied { replica } => {
+                if let State::Member(own) = &mut self.state {
+                    own.note_emptied(from.as_str(), replica);
+                }
+            }
             FormationMessage::ProbeReply { replica, formed } => {
                 self.probe_answered(from, replica, formed, now)
             }
@@ -134,6 +139,21 @@
         }
     }
 
+    /// Tells the other nodes when this disk holds nothing.
+    pub(super) fn tell_emptied(&mut self) {
+        if !matches!(self.state, State::Forming(_)) {
+            return;
+        }
+        let emptied = FormationMessage::Emptied {
+            replica: self.setup.replica,
+        };
+        for target in self.replicating() {
+            if target != self.setup.node {
+                self.send_group(&target, GroupMessage::Formation(emptied.clone()));
+            }
+        }
+    }
+
     /// A group of one has nobody to ask.
     pub(super) fn form_alone(&mut self, now: Millis) {
         if self.replicating() == [self.setup.node.clone()] {
--- a/crates/daemon/src/session/node_state.rs
+++ b/crates/daemon/src/session/node_state.rs
@@ -112,6 +112,17 @@
         true
     }
 
+    /// Whether the view names an owner of each service that is batched.
+    pub fn knows_batch_owners(&self) -> bool {
+        let Some(traffic) = &self.traffic else {
+            return true;
+        };
+        let mut services = traffic.traffic.services.iter();
+        services.all(|service| {
+            service.batch.is_none() || self.view.batch_owners.contains_key(&service.name)
+        })
+    }
+
     /// Whether the leader is known to have read the held list within `lease`.
     pub fn has_current_listing(&self, now: Millis, lease: Millis) -> bool {
         let confirmed_at = self.listing_confirmed_at;
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 
 /// Interval of reports to the leader and of views to the relays.
-const TICK: Duration = Duration::from_millis(200);
+const TICK: Duration = Duration::from_millis(100);
 /// A session without a heartbeat for so long gets no pushes, in milliseconds.
 const SESSION_SILENCE: Millis = 5_000;
 
@@ -132,8 +132,9 @@
         table.expire(now);
         table.assign_services(&batched_services(&self.setup.machine.borrow()), now);
         if table.version() != self.sent_version {
-            self.view = table.view();
-            self.sent_version = self.view.version;
+            let view = table.view();
+            self.sent_version = view.version;
+            self.take_view(view, now);
             self.send_to_relays();
         }
     }
@@ -246,9 +247,30 @@
     }
 
     /// The leader's view.
-    pub fn view(&mut self, _: CX![], view: ClusterView) {
+    pub fn view(&mut self, cx: CX![], view: ClusterView) {
+        let now = self.now(cx);
         if view.version > self.view.version {
-            self.view = view;
+            self.take_view(view, now);
+        }
+    }
+
+    /// Takes a newer view. Nodes ask for it with their heartbeats; other owners are told
+    /// at once, as orders wait for them.
+    fn take_view(&mut self, view: ClusterView, now: Millis) {
+        let has_other_owners = view.batch_owners != self.view.batch_owners;
+        self.view = view;
+        if has_other_owners {
+            let message = SessionMessage::PushView(self.view.clone());
+            self.tell_nodes(message, now);
+        }
+    }
+
+    fn tell_nodes(&self, message: SessionMessage, now: Millis) {
+        let mut outbox = self.setup.outbox.borrow_mut();
+        for (node, session) in &self.sessions {
+            if now.saturating_sub(session.heard_at) <= SESSION_SILENCE {
+                outbox.send(node, PeerMessage::Session(message.clone()));
+            }
         }
     }
 
@@ -312,13 +334,7 @@
         if !is_new {
             return;
         }
-        let mut outbox = self.setup.outbox.borrow_mut();
-        for (node, session) in &self.sessions {
-            if now.saturating_sub(session.heard_at) <= SESSION_SILENCE {
-                let message = SessionMessage::Listing(listing.clone());
-                outbox.send(node, PeerMessage::Session(message));
-            }
-        }
+        self.tell_nodes(SessionMessage::Listing(listing), now);
     }
 
     /// The leader read the list again and found it unchanged.
--- a/crates/daemon/src/session/session_actor.rs
+++ b/crates/daemon/src/session/session_actor.rs
@@ -8,7 +8,9 @@
 use silversail_backend::platform::ListedState;
 use silversail_backend::MachineList;
 use silversail_consensus::Millis;
-use silversail_control::{ConfigurationUpdate, MachineState, NodeReport, TrafficUpdate};
+use silversail_control::{
+    ClusterView, ConfigurationUpdate, MachineState, NodeReport, TrafficUpdate,
+};
 use silversail_model::NodeName;
 use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply, SharedListing};
 use stakker::{after, fwd, Fwd, CX};
@@ -45,6 +47,11 @@
 /// Heartbeats without an answer after which another relay is tried.
 const SILENT_HEARTBEATS: u32 = 2;
 
+/// Between the heartbeats of a node that does not serve yet, after its start.
+const EAGER_HEARTBEAT: Duration = Duration::from_millis(100);
+/// How long after its start a node sends such heartbeats at the longest, in milliseconds.
+const EAGER_FOR: Millis = 5_000;
+
 /// Keeps a node in step.
 pub struct SessionActor {
     setup: SessionSetup,
@@ -72,8 +79,13 @@
     }
 
     fn tick(&mut self, cx: CX![]) {
-        after!(self.setup.heartbeat, [cx], tick());
         let now = self.setup.clock.millis(cx.now());
+        let is_eager = now.saturating_sub(self.started_at) < EAGER_FOR && !self.is_in_step();
+        let interval = match is_eager {
+            true => EAGER_HEARTBEAT.min(self.setup.heartbeat),
+            false => self.setup.heartbeat,
+        };
+        after!(interval, [cx], tick());
         if self.setup.state.borrow_mut().drop_carried(now) {
             fwd!([self.setup.on_change], ());
         }
@@ -83,6 +95,16 @@
         self.send_heartbeat(cx);
     }
 
+    /// Whether this node has a configuration, is in the view as it is now, and knows the
+    /// owners of the services that are batched.
+    fn is_in_step(&self) -> bool {
+        let outbox = self.setup.outbox.borrow();
+        let state = self.setup.state.borrow();
+        let has_configuration = state.configuration.revision().is_some();
+        let is_in_view = state.view.is_live(outbox.node(), outbox.incarnation());
+        has_configuration && is_in_view && state.knows_batch_owners()
+    }
+
     fn try_next_relay(&mut self) {
         let relays = self.setup.directory.borrow().replicating();
         let position = relays
@@ -215,6 +237,14 @@
         }
     }
 
+    /// A view that the relay pushed.
+    pub fn push_view(&mut self, cx: CX![], view: ClusterView) {
+        let now = self.setup.clock.millis(cx.now());
+        if self.setup.state.borrow_mut().take_view(view, now) {
+            fwd!([self.setup.on_change], ());
+        }
+    }
+
     /// A list of back ends that the relay pushed.
     pub fn push_listing(&mut self, cx: CX![], listing: SharedListing) {
         let now = self.setup.clock.millis(cx.now());
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod discovery;
 pub mod errors;
+pub mod link;
 pub mod listing;
 pub mod message;
 pub mod transport;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -112,6 +112,11 @@
         /// The sender's replica.
         replica: ReplicaId,
     },
+    /// Tells that the sender's disk holds nothing: former replicas of its node are gone.
+    Emptied {
+        /// The sender's replica.
+        replica: ReplicaId,
+    },
     /// Answers a probe.
     ProbeReply {
         /// The sender's replica.
@@ -192,4 +197,6 @@
     },
     /// Leader to relays, when it changes and to those that have an older one.
     View(ClusterView),
+    /// Relay to node, at once when services have other owners.
+    PushView(ClusterView),
 }
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -1,13 +1,16 @@
 //! Sending and receiving envelopes over `nng` push and pull sockets.
 
 use crate::errors::PeerError;
+use crate::link::LinkWatch;
 use crate::message::{Envelope, PROTOCOL_VERSION};
 use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendBufferSize};
-use nng::{Protocol, Socket};
+use nng::{PipeEvent, Protocol, Socket};
 use silversail_model::NodeName;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Largest message, in bytes: a snapshot travels whole.
 const MAX_MESSAGE_BYTES: usize = 64 << 20;
@@ -15,6 +18,8 @@
 const SEND_BUFFER_MESSAGES: i32 = 256;
 const RECONNECT_MIN: Duration = Duration::from_millis(50);
 const RECONNECT_MAX: Duration = Duration::from_millis(300);
+/// How long a connection that was given up may still send what it holds.
+const RETIRED_FOR: Duration = Duration::from_secs(2);
 
 /// What became of a message handed to the transport.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +47,9 @@
 
     /// Gives up the connection to a node that has gone silent, for a new one.
     fn reconnect(&mut self, _node: &NodeName) {}
+
+    /// A message of a node's process came.
+    fn heard(&mut self, _node: &NodeName, _incarnation: u64) {}
 }
 
 /// Encodes an envelope.
@@ -65,10 +73,19 @@
     Ok(envelope)
 }
 
+/// A connection to a peer, and whether it is up.
+struct Connection {
+    socket: Socket,
+    is_up: Arc<AtomicBool>,
+}
+
 /// The transport of real processes.
 pub struct NngTransport {
     addresses: BTreeMap<NodeName, String>,
-    sockets: BTreeMap<String, Socket>,
+    connections: BTreeMap<String, Connection>,
+    watches: BTreeMap<String, LinkWatch>,
+    /// Connections that were given up, until what they hold has left.
+    retired: VecDeque<(Instant, Socket)>,
 }
 
 impl NngTransport {
@@ -81,28 +98,65 @@
         receive: impl Fn(Result<Envelope, PeerError>, usize) + Send + 'static,
     ) -> Result<Self, PeerError> {
         listen(listen_address, cluster.to_owned(), receive)?;
-        let mut sockets = BTreeMap::new();
+        let mut transport = Self {
+            addresses: peers.clone(),
+            connections: BTreeMap::new(),
+            watches: BTreeMap::new(),
+            retired: VecDeque::new(),
+        };
         for address in peers.values() {
-            sockets.insert(address.clone(), dial(address)?);
+            let connection = dial(address)?;
+            transport.take_connection(address, connection, Instant::now());
         }
-        Ok(Self {
-            addresses: peers.clone(),
-            sockets,
-        })
+        Ok(transport)
     }
 
-    fn socket(&mut self, address: &str) -> Option<&Socket> {
-        if !self.sockets.contains_key(address) {
+    fn take_connection(&mut self, address: &str, connection: Connection, now: Instant) {
+        self.connections.insert(address.to_owned(), connection);
+        let watch = self.watches.entry(address.to_owned()).or_default();
+        watch.dialled(now);
+    }
+
+    fn socket(&mut self, address: &str, now: Instant) -> Option<&Socket> {
+        if !self.connections.contains_key(address) {
             match dial(address) {
-                Ok(socket) => {
-                    self.sockets.insert(address.to_owned(), socket);
-                }
+                Ok(connection) => self.take_connection(address, connection, now),
                 Err(error) => {
                     log::warn!(event = "peer_dial_failed", address = address; "{error}");
                 }
             }
         }
-        self.sockets.get(address)
+        let connection = self.connections.get(address);
+        connection.map(|connection| &connection.socket)
+    }
+
+    fn is_up(&self, address: &str) -> bool {
+        let connection = self.connections.get(address);
+        connection.is_some_and(|one| one.is_up.load(Ordering::Relaxed))
+    }
+
+    fn renew_if_hanging(&mut self, address: &str) {
+        let now = Instant::now();
+        let is_up = self.is_up(address);
+        let watch = self.watches.get(address);
+        if watch.is_some_and(|watch| watch.hangs(is_up, now)) {
+            self.retire(address, now);
+        }
+    }
+
+    /// Gives up a connection. Messages on their way may still leave for a while.
+    fn retire(&mut self, address: &str, now: Instant) {
+        let is_over = |since: &Instant| now.saturating_duration_since(*since) >= RETIRED_FOR;
+        while self
+            .retired
+            .front()
+            .is_some_and(|(since, _)| is_over(since))
+        {
+            self.retired.pop_front();
+        }
+        if let Some(connection) = self.connections.remove(address) {
+            self.retired.push_back((now, connection.socket));
+        }
     }
 }
 
@@ -115,25 +169,46 @@
     }
 
     fn send_to_address(&mut self, address: &str, envelope: &Envelope) -> SendResult {
-        let Some(socket) = self.socket(address) else {
+        let now = Instant::now();
+        let Some(socket) = self.socket(address, now) else {
             return SendResult::Dropped;
         };
-        match socket.try_send(&encode(envelope)[..]) {
+        let result = match socket.try_send(&encode(envelope)[..]) {
             Ok(()) => SendResult::Queued,
             Err(_) => SendResult::Dropped,
+        };
+        if let Some(watch) = self.watches.get_mut(address) {
+            watch.sent(now);
         }
+        result
     }
 
     fn learn(&mut self, node: &NodeName, address: &str) {
         let former = self.addresses.insert(node.clone(), address.to_owned());
         if let Some(former) = former.filter(|former| former != address) {
-            self.sockets.remove(&former);
+            self.connections.remove(&former);
+            self.watches.remove(&former);
         }
+        // It was heard: a connection begun while it was down would come up late.
+        self.renew_if_hanging(address);
     }
 
     fn reconnect(&mut self, node: &NodeName) {
         if let Some(address) = self.addresses.get(node) {
-            self.sockets.remove(address);
+            self.connections.remove(address);
+        }
+    }
+
+    fn heard(&mut self, node: &NodeName, incarnation: u64) {
+        let Some(address) = self.addresses.get(node).cloned() else {
+            return;
+        };
+        let now = Instant::now();
+        let is_up = self.is_up(&address);
+        let watch = self.watches.entry(address.clone()).or_default();
+        if watch.heard(incarnation, is_up, now) {
+            log::debug!(event = "peer_back", node = node.as_str(), is_up = is_up; "connection renewed");
+            self.retire(&address, now);
         }
     }
 }
@@ -166,7 +241,7 @@
     Ok(())
 }
 
-fn dial(address: &str) -> Result<Socket, PeerError> {
+fn dial(address: &str) -> Result<Connection, PeerError> {
     let error = |source| PeerError::Connect {
         address: address.to_owned(),
         source,
@@ -181,8 +256,17 @@
     socket
         .set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))
         .map_err(error)?;
+    let is_up = Arc::new(AtomicBool::new(false));
+    let noted = is_up.clone();
+    socket
+        .pipe_notify(move |_, event| match event {
+            PipeEvent::AddPost => noted.store(true, Ordering::Relaxed),
+            PipeEvent::RemovePost => noted.store(false, Ordering::Relaxed),
+            _ => {}
+        })
+        .map_err(error)?;
     socket
         .dial_async(&format!("tcp://{address}"))
         .map_err(error)?;
-    Ok(socket)
+    Ok(Connection { socket, is_up })
 }
