--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -105,11 +105,12 @@
         };
         let first_work = first_work_of(incarnation);
         let log = setup.log.clone();
+        let policy = setup.settings.policy;
         after!(IDLE_TICK, [cx], tick());
         Some(Self {
             node,
-            dispatcher: Dispatcher::new(&setup.zone, limits, first_work, log.clone()),
-            batcher: Batcher::new(log),
+            dispatcher: Dispatcher::new(&setup.zone, limits, policy, first_work, log.clone()),
+            batcher: Batcher::new(policy, log),
             works: Works::default(),
             unowned: WaitingOrders::default(),
             unready: WaitingOrders::default(),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -7,6 +7,7 @@
 use silversail_model::{NodeName, ResultCode};
 use silversail_peer::Contact;
 use silversail_routing::{PlacementPolicy, QueueOrder, SlotPolicy};
+use silversail_serving::policy::Policy;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -168,6 +169,9 @@
     /// The time over which both are counted, in milliseconds.
     #[serde(default = "default_retry_window")]
     pub retry_window_ms: u64,
+    /// Switches and figures of the decisions.
+    #[serde(default)]
+    pub policy: Policy,
 }
 
 fn default_list_rate() -> f64 {
@@ -385,6 +389,7 @@
     /// Checks references, addresses and ranges.
     pub fn validate(&self) -> Result<(), SettingsError> {
         self.validate_nodes()?;
+        self.validate_gateway()?;
         self.validate_voters()?;
         check_address("operators", &self.operators)?;
         for (path, address) in [
@@ -428,7 +433,7 @@
             for (position, contact) in discovery.contacts.iter().enumerate() {
                 check_address(&format!("discovery.contacts[{position}]"), contact)?;
             }
-            return self.validate_gateway();
+            return Ok(());
         }
         if !names.contains(&self.node) {
             let message = format!("'{}' is not among cluster.nodes", self.node);
@@ -454,7 +459,10 @@
         ] {
             check_address(path, address)?;
         }
-        Ok(())
+        gateway.policy.validate().map_err(|error| {
+            let path = format!("gateway.policy.{}", error.field);
+            SettingsError::new(ResultCode::ValueOutOfRange, path, error.problem)
+        })
     }
 
     fn validate_voters(&self) -> Result<(), SettingsError> {
--- a/crates/daemon/tests/startup.rs
+++ b/crates/daemon/tests/startup.rs
@@ -25,6 +25,20 @@
     })
 }
 
+/// Settings with a gateway.
+fn gateway_settings(folder: &Path) -> Value {
+    let address = || free_address().expect("an address").to_string();
+    let mut settings = settings(folder);
+    settings["gateway"] = json!({
+        "callers": address(),
+        "readiness": address(),
+        "control": address(),
+        "entry_points": address(),
+        "backend_list": address(),
+    });
+    settings
+}
+
 fn run(folder: &Path, text: &str) -> Output {
     let path = folder.join("settings.yaml");
     std::fs::write(&path, text).expect("written");
@@ -64,6 +78,27 @@
     stops_with(folder.path(), &settings, code);
 }
 
+#[rstest]
+#[case("rank_ordering", json!(true), "1001")]
+#[case("rank_order", json!("yes"), "1001")]
+#[case("admitted_shares", json!([0.9, 0.8, 0.65, 2.1]), "1004")]
+#[case("admitted_shares", json!([0.9]), "1001")]
+#[case("return_latest_ms", json!(10_001), "1004")]
+#[case("return_after_ms", json!(3_001), "1004")]
+fn a_bad_policy_names_its_field(#[case] field: &str, #[case] value: Value, #[case] code: &str) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut settings = gateway_settings(folder.path());
+    settings["gateway"]["policy"] = json!({ field: value });
+    let text = serde_yaml_ng::to_string(&settings).expect("YAML");
+    let output = run(folder.path(), &text);
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success());
+    assert!(
+        errors.contains(code) && errors.contains("policy"),
+        "{errors}"
+    );
+}
+
 #[test]
 fn text_that_is_no_yaml_is_refused_with_its_place() {
     let folder = tempfile::tempdir().expect("a folder");
--- a/crates/serving/examples/batch_cost.rs
+++ b/crates/serving/examples/batch_cost.rs
@@ -10,6 +10,7 @@
 use silversail_peer::{PhaseWork, Piece, PieceSource};
 use silversail_serving::batcher::{AnnouncedOrder, Batcher, OrderKey};
 use silversail_serving::instances::InstanceTable;
+use silversail_serving::policy::Policy;
 use silversail_serving::ports::ListedInstance;
 use std::time::Instant;
 
@@ -62,7 +63,7 @@
             draining: false,
         });
         table.replace(listed.collect());
-        let mut batcher = Batcher::new(DecisionLog::off());
+        let mut batcher = Batcher::new(Policy::default(), DecisionLog::off());
         batcher.set_specs([("service".to_owned(), spec.clone())].into());
         // All makers are at work, and so many orders wait.
         for work in 0..(MAKERS as u64 * 5 + waiting) {
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -13,6 +13,7 @@
 mod schedule;
 
 use crate::instances::InstanceTable;
+use crate::policy::Policy;
 use crate::ports::PieceResults;
 use crate::Millis;
 pub use announced::AnnouncedOrder;
@@ -102,6 +103,7 @@
     room: RoomBook,
     announced: AnnouncedOrders,
     paces: BTreeMap<String, Pace>,
+    policy: Policy,
     housekeeping_at: Millis,
     next_call: CallId,
     log: DecisionLog,
@@ -109,15 +111,16 @@
 
 impl Batcher {
     /// A batcher without services.
-    pub fn new(log: DecisionLog) -> Self {
+    pub fn new(policy: Policy, log: DecisionLog) -> Self {
         Self {
             specs: BTreeMap::new(),
             orders: BTreeMap::new(),
             calls: BTreeMap::new(),
-            makers: MakerBook::new(log.clone()),
+            makers: MakerBook::new(policy, log.clone()),
             room: RoomBook::default(),
             announced: AnnouncedOrders::default(),
             paces: BTreeMap::new(),
+            policy,
             housekeeping_at: 0,
             next_call: 1,
             log,
@@ -151,7 +154,7 @@
         // An order that is given again is still the same order.
         self.orders
             .entry(key)
-            .or_insert_with(|| Order::new(work, now));
+            .or_insert_with(|| Order::new(work, self.policy, now));
         Ok(())
     }
 
@@ -417,6 +420,9 @@
     /// be freed; each order is told once. Orders at risk are not told: a piece that is
     /// made a second time needs its inputs.
     pub fn inputs_read(&mut self, now: Millis) -> Vec<OrderKey> {
+        if !self.policy.early_freeing {
+            return Vec::new();
+        }
         let is_read = |order: &Order| {
             let called_at = order.all_called_at;
             !order.told_inputs_read
--- a/crates/serving/src/batcher/makers.rs
+++ b/crates/serving/src/batcher/makers.rs
@@ -3,6 +3,7 @@
 
 use super::CallOutcome;
 use crate::instances::InstanceTable;
+use crate::policy::Policy;
 use crate::Millis;
 use silversail_decisions::{DecisionLog, Event};
 use silversail_model::traffic::BatchSpec;
@@ -64,14 +65,16 @@
 
 /// All makers of which something is believed.
 pub(super) struct MakerBook {
+    policy: Policy,
     makers: BTreeMap<String, Maker>,
     recent: BTreeMap<String, RecentCalls>,
     log: DecisionLog,
 }
 
 impl MakerBook {
-    pub(super) fn new(log: DecisionLog) -> Self {
+    pub(super) fn new(policy: Policy, log: DecisionLog) -> Self {
         Self {
+            policy,
             makers: BTreeMap::new(),
             recent: BTreeMap::new(),
             log,
@@ -100,8 +103,11 @@
     fn failed(&mut self, id: &str, service: &str, now: Millis) {
         let maker = self.makers.entry(id.to_owned()).or_default();
         let doublings = maker.failures.min(MAX_DOUBLINGS);
-        maker.failures += 1;
         maker.at_risk_until = now + AT_RISK_FOR;
+        if !self.policy.pass_over_failing {
+            return;
+        }
+        maker.failures += 1;
         maker.refused_until = now + (FAILED_FOR << doublings);
         self.record(id, service, "suspect");
     }
@@ -131,7 +137,7 @@
             CallOutcome::Answered(_) => {
                 let share = took as f64 / expected_ms;
                 let recent = self.recent.entry(service.to_owned()).or_default();
-                let is_slow = share > recent.usual() * SLOW_FACTOR;
+                let is_slow = self.policy.pass_over_slow && share > recent.usual() * SLOW_FACTOR;
                 recent.add(share);
                 let maker = self.makers.entry(id.to_owned()).or_default();
                 maker.failures = 0;
--- a/crates/serving/src/batcher/order.rs
+++ b/crates/serving/src/batcher/order.rs
@@ -1,6 +1,7 @@
 //! One order: all pieces of one phase of one request.
 
 use super::CallId;
+use crate::policy::Policy;
 use crate::Millis;
 use silversail_peer::{PhaseWork, Piece, PieceFailure, ResultHandle, RANKS};
 
@@ -31,6 +32,7 @@
 /// An order and where its pieces are.
 pub(super) struct Order {
     pub(super) work: PhaseWork,
+    policy: Policy,
     states: Vec<PieceState>,
     /// How many pieces wait.
     waiting: usize,
@@ -52,7 +54,7 @@
 }
 
 impl Order {
-    pub(super) fn new(work: PhaseWork, now: Millis) -> Self {
+    pub(super) fn new(work: PhaseWork, policy: Policy, now: Millis) -> Self {
         Self {
             states: vec![PieceState::Waiting; work.pieces.len()],
             waiting: work.pieces.len(),
@@ -64,6 +66,7 @@
             all_called_at: None,
             told_inputs_read: false,
             is_at_risk: false,
+            policy,
             work,
         }
     }
@@ -84,8 +87,12 @@
     /// Orders the waiting orders: the least goes first. An order that can't be done
     /// when it is wanted, as it would end at `earliest_end`, stands back.
     pub(super) fn due(&self, earliest_end: Millis) -> Millis {
-        let due = self.wanted_at + RANK_STEP * Millis::from(self.work.priority);
-        if self.is_late(earliest_end) {
+        let steps = match self.policy.rank_order {
+            true => Millis::from(self.work.priority),
+            false => 0,
+        };
+        let due = self.wanted_at + RANK_STEP * steps;
+        if self.policy.late_orders_stand_back && self.is_late(earliest_end) {
             due + LATE_STEP
         } else {
             due
@@ -117,14 +124,17 @@
     /// Whether a call may take only `fitting` of its waiting pieces at `now`.
     pub(super) fn may_split(&self, fitting: usize, pieces_of_call: usize, now: Millis) -> bool {
         let waiting = self.waiting_pieces();
-        waiting > pieces_of_call || fitting * 2 >= waiting || now >= self.splits_from
+        !self.policy.whole_orders
+            || waiting > pieces_of_call
+            || fitting * 2 >= waiting
+            || now >= self.splits_from
     }
 
     /// Whether it may be made in `zone` at `now`: for a while it waits for a maker where
     /// less has to be moved, if it can still end when it is wanted. A call takes
     /// `call_ms`.
     pub(super) fn may_go_to(&self, zone: &str, call_ms: Millis, now: Millis) -> bool {
-        if !self.is_far_from(zone) || now >= self.waits_near_until {
+        if !self.policy.wait_for_zone || !self.is_far_from(zone) || now >= self.waits_near_until {
             return true;
         }
         self.is_late(self.waits_near_until + call_ms)
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -11,6 +11,7 @@
 
 use crate::batcher::AnnouncedOrder;
 use crate::instances::InstanceTable;
+use crate::policy::Policy;
 use crate::ports::{CallAttributes, ReportedLoad, SendAttributes};
 use crate::retry_budget::{RetryBudget, RetryLimits};
 use crate::routes::{RouteError, RouteTable, Routed};
@@ -168,6 +169,7 @@
     requests: BTreeMap<RequestNumber, ActiveRequest>,
     works: BTreeMap<WorkId, (RequestNumber, usize)>,
     admission: Admission,
+    policy: Policy,
     next_work: WorkId,
     log: DecisionLog,
 }
@@ -176,7 +178,13 @@
     /// A dispatcher in `zone` without configuration or back ends. Orders of
     /// work are numbered from `first_work`, which differs between processes of a
     /// node.
-    pub fn new(zone: &str, limits: RetryLimits, first_work: WorkId, log: DecisionLog) -> Self {
+    pub fn new(
+        zone: &str,
+        limits: RetryLimits,
+        policy: Policy,
+        first_work: WorkId,
+        log: DecisionLog,
+    ) -> Self {
         Self {
             zone: zone.to_owned(),
             routes: None,
@@ -185,7 +193,8 @@
             nodes: 1,
             requests: BTreeMap::new(),
             works: BTreeMap::new(),
-            admission: Admission::default(),
+            admission: Admission::new(policy),
+            policy,
             next_work: first_work,
             log,
         }
@@ -255,7 +264,7 @@
             remaining_ms: wait,
             phases: routed.route.phases.len(),
         });
-        let request = ActiveRequest::new(call, routed, now, now + wait);
+        let request = ActiveRequest::new(call, routed, self.policy, now, now + wait);
         let refused = self.admission.refuses(&request, now);
         self.requests.insert(number, request);
         if let Some(come_back_in) = refused {
@@ -268,6 +277,9 @@
 
     /// Tells the batching nodes of the phases that an admitted request will need.
     fn announce(&mut self, number: RequestNumber) -> Vec<Action> {
+        if !self.policy.announced_orders {
+            return Vec::new();
+        }
         let Some(request) = self.requests.get_mut(&number) else {
             return Vec::new();
         };
--- a/crates/serving/src/dispatcher/admission.rs
+++ b/crates/serving/src/dispatcher/admission.rs
@@ -2,6 +2,7 @@
 //! what the batching nodes last told.
 
 use super::request::ActiveRequest;
+use crate::policy::Policy;
 use crate::Millis;
 use silversail_peer::{ServiceWaits, RANKS};
 use std::collections::BTreeMap;
@@ -16,22 +17,23 @@
 /// Most that an answer counts in that mean, in milliseconds: one that is stuck says
 /// nothing of others.
 const FIRST_PART_MOST: f64 = 1_000.0;
-/// Share of the objective within which the chain must be expected to end, by rank:
-/// waits are told late, and bursts come between. What is less urgent is refused
-/// first.
-const ADMITTED_SHARE: [f64; RANKS] = [0.9, 0.8, 0.65, 0.6];
-/// A refused caller is told to come back within these bounds, in milliseconds.
-const SOONEST_RETURN: u64 = 300;
-const LATEST_RETURN: u64 = 3_000;
 
 /// What the batching nodes told.
-#[derive(Default)]
 pub(super) struct Admission {
+    policy: Policy,
     waits: BTreeMap<String, (ServiceWaits, Millis)>,
     first_parts: BTreeMap<String, f64>,
 }
 
 impl Admission {
+    pub(super) fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            waits: BTreeMap::new(),
+            first_parts: BTreeMap::new(),
+        }
+    }
+
     pub(super) fn set_waits(&mut self, waits: ServiceWaits, now: Millis) {
         self.waits.insert(waits.service.clone(), (waits, now));
     }
@@ -70,18 +72,22 @@
     /// When a request shall come back that can't be expected to keep its
     /// objective; none where it is admitted.
     pub(super) fn refuses(&self, request: &ActiveRequest, now: Millis) -> Option<u64> {
+        if !self.policy.chain_admission {
+            return None;
+        }
         let rank = request.routed.priority;
         let specs = &request.routed.route.phases;
         let end_of =
             |phase: usize, begin: u64| self.end_of(&specs[phase].service, rank, begin, now);
         let first_part = self.first_part_ms(&request.routed.route.name);
         let expected = request.phases.expected_end(end_of)? + first_part;
-        let share = ADMITTED_SHARE[usize::from(rank).min(RANKS - 1)];
+        let share = self.policy.admitted_shares[usize::from(rank).min(RANKS - 1)];
         let objective = (request.routed.route.objective_ms as f64 * share) as u64;
         if expected <= objective {
             return None;
         }
         let excess = expected - objective;
-        Some((SOONEST_RETURN + excess).min(LATEST_RETURN))
+        let return_in = self.policy.return_after_ms + excess;
+        Some(return_in.min(self.policy.return_latest_ms))
     }
 }
--- a/crates/serving/src/dispatcher/phases.rs
+++ b/crates/serving/src/dispatcher/phases.rs
@@ -28,11 +28,13 @@
 /// The phases of one request.
 pub(super) struct PhaseBook {
     phases: Vec<Phase>,
+    late_start: bool,
 }
 
 impl PhaseBook {
-    /// The phases of a route with the request's numbers of pieces.
-    pub(super) fn new(specs: &[PhaseSpec], pieces: &[u32]) -> Self {
+    /// The phases of a route with the request's numbers of pieces; with `late_start`
+    /// those off the longest chain wait for it.
+    pub(super) fn new(specs: &[PhaseSpec], pieces: &[u32], late_start: bool) -> Self {
         let phases = specs
             .iter()
             .enumerate()
@@ -51,7 +53,7 @@
                 }
             })
             .collect();
-        Self { phases }
+        Self { phases, late_start }
     }
 
     pub(super) fn pieces(&self, phase: usize) -> u32 {
@@ -79,7 +81,7 @@
             .unwrap_or_default();
         unfinished
             .filter(|phase| self.phases[*phase].state == PhaseState::Waiting)
-            .filter(|phase| self.phases_after(*phase) >= longest)
+            .filter(|phase| !self.late_start || self.phases_after(*phase) >= longest)
             .filter(|phase| {
                 let mut before = self.phases[*phase].after.iter();
                 before.all(|before| self.is_over(*before))
--- a/crates/serving/src/dispatcher/request.rs
+++ b/crates/serving/src/dispatcher/request.rs
@@ -4,6 +4,7 @@
 use super::Action;
 use crate::batcher::AnnouncedOrder;
 use crate::instances::InstanceTable;
+use crate::policy::Policy;
 use crate::ports::{CallAttributes, SendAttributes};
 use crate::routes::Routed;
 use crate::selection::{affinity_key, SelectionRequest};
@@ -28,6 +29,7 @@
 pub(super) struct ActiveRequest {
     pub(super) call: CallAttributes,
     pub(super) routed: Routed,
+    policy: Policy,
     pub(super) arrived_at: Millis,
     /// When the caller's wait or the route's time is over.
     pub(super) end: Millis,
@@ -40,11 +42,18 @@
 }
 
 impl ActiveRequest {
-    pub(super) fn new(call: CallAttributes, routed: Routed, now: Millis, end: Millis) -> Self {
-        let phases = PhaseBook::new(&routed.route.phases, &call.pieces);
+    pub(super) fn new(
+        call: CallAttributes,
+        routed: Routed,
+        policy: Policy,
+        now: Millis,
+        end: Millis,
+    ) -> Self {
+        let phases = PhaseBook::new(&routed.route.phases, &call.pieces, policy.late_start);
         Self {
             call,
             routed,
+            policy,
             arrived_at: now,
             end,
             phases,
@@ -70,13 +79,20 @@
     }
 
     pub(super) fn reset_phases(&mut self) {
-        self.phases = PhaseBook::new(&self.routed.route.phases, &self.call.pieces);
+        self.phases = PhaseBook::new(
+            &self.routed.route.phases,
+            &self.call.pieces,
+            self.policy.late_start,
+        );
     }
 
     /// The zone where a phase is best done: where its inputs are, if each piece
     /// has much to fetch, else where the engine probably is, if its results are
     /// large and no other phase needs them. Empty for any.
     fn best_zone(&self, phase: usize, engine_zone: &str, instances: &InstanceTable) -> String {
+        if !self.policy.zone_of_results {
+            return String::new();
+        }
         let spec = &self.routed.route.phases[phase];
         let pieces = u64::from(self.phases.pieces(phase));
         let inputs = self.phases.inputs(phase);
@@ -186,7 +202,7 @@
 
     /// What the choice of an engine takes into account.
     pub(super) fn selection<'a>(&'a self, zone: &'a str) -> SelectionRequest<'a> {
-        let affinity = match self.routed.route.has_prefix {
+        let affinity = match self.routed.route.has_prefix && self.policy.prefix_affinity {
             true => affinity_key(&self.call.prefix),
             false => None,
         };
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod batcher;
 pub mod dispatcher;
 pub mod instances;
+pub mod policy;
 pub mod ports;
 pub mod retry_budget;
 pub mod routes;
--- /dev/null
+++ b/crates/serving/src/policy.rs
@@ -0,0 +1,103 @@
+//! The mechanisms of deciding, each with a switch, so that what each is worth can be
+//! measured. All are on by default.
+
+use serde::Deserialize;
+use silversail_peer::RANKS;
+
+/// Least and greatest share of an objective that may be admitted on.
+const SHARES: std::ops::RangeInclusive<f64> = 0.1..=2.0;
+/// Greatest time after which a caller may be told to come back, in milliseconds.
+const MAX_RETURN_MS: u64 = 10_000;
+
+/// Switches and figures of the decisions on requests and batches.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Policy {
+    /// Requests that share the beginning of their prompt go to the same engine.
+    pub prefix_affinity: bool,
+    /// Phases with much to move are made in the zone of what they fetch, or of the
+    /// engine.
+    pub zone_of_results: bool,
+    /// Orders with much to fetch wait a while for a maker in their zone.
+    pub wait_for_zone: bool,
+    /// A phase off the longest chain starts when the rest of that chain is as short.
+    pub late_start: bool,
+    /// Orders that a call can hold are kept whole.
+    pub whole_orders: bool,
+    /// Batching nodes are told of the later phases of admitted requests.
+    pub announced_orders: bool,
+    /// Requests whose chain can't be expected to end in time are refused.
+    pub chain_admission: bool,
+    /// Orders of more urgent requests go first.
+    pub rank_order: bool,
+    /// Orders too late for their objective stand back.
+    pub late_orders_stand_back: bool,
+    /// Slow makers get no calls for a while.
+    pub pass_over_slow: bool,
+    /// Makers that fail get no calls for a while.
+    pub pass_over_failing: bool,
+    /// Inputs of a phase are freed once its calls have begun.
+    pub early_freeing: bool,
+    /// Share of the objective within which a chain must be expected to end, by rank: waits
+    /// are told late, and bursts come between. What is less urgent is refused first.
+    pub admitted_shares: [f64; RANKS],
+    /// A caller refused under load is told to come back this much later than its chain is
+    /// expected to have room, in milliseconds.
+    pub return_after_ms: u64,
+    /// The latest return that a caller is told, in milliseconds.
+    pub return_latest_ms: u64,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            prefix_affinity: true,
+            zone_of_results: true,
+            wait_for_zone: true,
+            late_start: true,
+            whole_orders: true,
+            announced_orders: true,
+            chain_admission: true,
+            rank_order: true,
+            late_orders_stand_back: true,
+            pass_over_slow: true,
+            pass_over_failing: true,
+            early_freeing: true,
+            admitted_shares: [1.0, 0.95, 0.8, 0.8],
+            return_after_ms: 300,
+            return_latest_ms: 3_000,
+        }
+    }
+}
+
+/// A figure that is out of its range.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{field} {problem}")]
+pub struct PolicyError {
+    /// The setting.
+    pub field: &'static str,
+    /// What is wrong, with the range.
+    pub problem: &'static str,
+}
+
+impl Policy {
+    /// Checks the figures.
+    pub fn validate(&self) -> Result<(), PolicyError> {
+        let error = |field, problem| Err(PolicyError { field, problem });
+        if !self
+            .admitted_shares
+            .iter()
+            .all(|share| SHARES.contains(share))
+        {
+            return error("admitted_shares", "must lie between 0.1 and 2.0");
+        }
+        let most = self.return_latest_ms;
+        if most > MAX_RETURN_MS {
+            return error("return_latest_ms", "must be at most 10000");
+        }
+        if self.return_after_ms > most {
+            return error("return_after_ms", "must be at most return_latest_ms");
+        }
+        Ok(())
+    }
+}
