--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::gateway::calls::GatewayCalls;
+use crate::gateway::early::{EarlyRequest, EarlyRequests};
 use crate::gateway::event::{Decision, GatewayEvent};
 use crate::gateway::owners::OwnerWatch;
 use crate::gateway::waiting::WaitingOrders;
@@ -75,6 +76,9 @@
     pub(super) node: NodeName,
     pub(super) dispatcher: Dispatcher,
     pub(super) batcher: Batcher,
+    started_at: Millis,
+    /// Requests that wait for the first traffic configuration.
+    pub(super) early: EarlyRequests,
     pub(super) works: Works,
     /// Orders of this node whose service has no batching node yet.
     pub(super) unowned: WaitingOrders<WorkId>,
@@ -111,6 +115,8 @@
             node,
             dispatcher: Dispatcher::new(&setup.zone, limits, policy, first_work, log.clone()),
             batcher: Batcher::new(policy, log),
+            started_at: setup.clock.millis(cx.now()),
+            early: EarlyRequests::default(),
             works: Works::default(),
             unowned: WaitingOrders::default(),
             unready: WaitingOrders::default(),
@@ -133,10 +139,12 @@
     pub(super) fn tick(&mut self, cx: CX![]) {
         let is_busy = self.dispatcher.open_requests() > 0
             || self.batcher.sizes() != (0, 0)
-            || !self.unready.is_empty();
+            || !self.unready.is_empty()
+            || !self.early.is_empty();
         let interval = if is_busy { BUSY_TICK } else { IDLE_TICK };
         after!(interval, [cx], tick());
         let now = self.now(cx);
+        self.admit_early(now);
         let expired = self.dispatcher.expire(now);
         self.carry_out(expired, now);
         let late = self.batcher.expire(now);
@@ -176,6 +184,7 @@
                 }
             }
             GatewayEvent::CallerGone { number } => {
+                self.early.remove(number);
                 let actions = self.dispatcher.caller_gone(number, now);
                 self.carry_out(actions, now);
                 self.close(number, "caller_gone", now);
@@ -231,7 +240,19 @@
             let withheld = &self.setup.metrics.withheld_headers;
             withheld.with_label_values(&[name]).inc();
         }
-        let actions = if self.setup.state.borrow().refusing {
+        let is_refusing = self.setup.state.borrow().refusing;
+        let uptime = now.saturating_sub(self.started_at);
+        let may_wait = !self.dispatcher.has_routes() && self.early.may_wait(uptime);
+        if may_wait && !is_refusing {
+            let since = now;
+            self.early.add(EarlyRequest {
+                number,
+                call,
+                since,
+            });
+            return;
+        }
+        let actions = if is_refusing {
             self.dispatcher.refuse(number, &call, ResultCode::Stopping)
         } else {
             self.dispatcher.arrive(number, call, now)
@@ -239,6 +260,21 @@
         self.carry_out(actions, now);
     }
 
+    /// Takes in the requests that waited for a traffic configuration; those that waited
+    /// too long are refused.
+    pub(super) fn admit_early(&mut self, now: Millis) {
+        let due = self.early.take_due(self.dispatcher.has_routes(), now);
+        for EarlyRequest {
+            number,
+            call,
+            since,
+        } in due
+        {
+            let actions = self.dispatcher.arrive_since(number, call, since, now);
+            self.carry_out(actions, now);
+        }
+    }
+
     /// Counts a send that failed, and whether it is followed by another.
     pub(super) fn count_send(&self, outcome: SendOutcome, actions: &[Action]) {
         let is_retried = actions
--- a/crates/daemon/src/gateway/following.rs
+++ b/crates/daemon/src/gateway/following.rs
@@ -34,6 +34,7 @@
         self.follow_traffic(now);
         self.follow_view(now);
         self.follow_listing();
+        self.admit_early(now);
         self.place_waiting(now);
         self.resubmit(now);
         self.start_batches(now);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod batching;
 pub mod callers;
 pub mod calls;
+pub mod early;
 pub mod event;
 pub mod exchange;
 mod following;
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -246,6 +246,22 @@
         number: RequestNumber,
         call: CallAttributes,
         now: Millis,
+    ) -> Vec<Action> {
+        self.arrive_since(number, call, now, now)
+    }
+
+    /// Whether a traffic configuration is in force.
+    pub fn has_routes(&self) -> bool {
+        self.routes.is_some()
+    }
+
+    /// A request that arrived at `since` and waited for a traffic configuration.
+    pub fn arrive_since(
+        &mut self,
+        number: RequestNumber,
+        call: CallAttributes,
+        since: Millis,
+        now: Millis,
     ) -> Vec<Action> {
         let routed = match self.routed(&call) {
             Ok(routed) => routed,
@@ -261,10 +277,10 @@
             route: routed.route.name.clone(),
             service: routed.service.clone(),
             version: self.version(),
-            remaining_ms: wait,
+            remaining_ms: (since + wait).saturating_sub(now),
             phases: routed.route.phases.len(),
         });
-        let request = ActiveRequest::new(call, routed, self.policy, now, now + wait);
+        let request = ActiveRequest::new(call, routed, self.policy, since, since + wait);
         let refused = self.admission.refuses(&request, now);
         self.requests.insert(number, request);
         if let Some(come_back_in) = refused {
