Make the wait for a maker in the zone a figure of the policy

Cause: results between zones are the largest price of the new site. Change: gateway.policy.zone_wait_ms, 200 as before.

--- a/crates/serving/src/batcher/order.rs
+++ b/crates/serving/src/batcher/order.rs
@@ -11,9 +11,6 @@
 /// a few of its pieces, in milliseconds: results of the first pieces take room while
 /// the others wait.
 const SPLIT_AFTER: Millis = 400;
-/// How long an order waits for a maker in the zone where it had better be made, in
-/// milliseconds: about half of a call.
-const NEAR_WAIT: Millis = 200;
 /// An order that comes too late for its objective waits longer by this much, in
 /// milliseconds, so that it does not make others late too.
 const LATE_STEP: Millis = 2_500;
@@ -62,7 +59,7 @@
             wanted_at: now + work.wanted_in_ms,
             deadline: now + work.remaining_ms,
             splits_from: now + SPLIT_AFTER,
-            waits_near_until: now + NEAR_WAIT,
+            waits_near_until: now + policy.zone_wait_ms,
             all_called_at: None,
             told_inputs_read: false,
             is_at_risk: false,
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -6,6 +6,8 @@
 
 /// Least and greatest share of an objective that may be admitted on.
 const SHARES: std::ops::RangeInclusive<f64> = 0.1..=2.0;
+/// Longest wait of an order for a maker in its zone, in milliseconds.
+const MAX_ZONE_WAIT_MS: u64 = 2_000;
 /// Greatest time after which a caller may be told to come back, in milliseconds.
 const MAX_RETURN_MS: u64 = 10_000;
 
@@ -20,6 +22,8 @@
     pub zone_of_results: bool,
     /// Orders with much to fetch wait a while for a maker in their zone.
     pub wait_for_zone: bool,
+    /// How long they wait for it, in milliseconds: about half of a call.
+    pub zone_wait_ms: u64,
     /// A phase off the longest chain starts when the rest of that chain is as short.
     pub late_start: bool,
     /// Orders that a call can hold are kept whole.
@@ -54,6 +58,7 @@
             prefix_affinity: true,
             zone_of_results: true,
             wait_for_zone: true,
+            zone_wait_ms: 200,
             late_start: true,
             whole_orders: true,
             announced_orders: true,
@@ -91,6 +96,9 @@
         {
             return error("admitted_shares", "must lie between 0.1 and 2.0");
         }
+        if self.zone_wait_ms > MAX_ZONE_WAIT_MS {
+            return error("zone_wait_ms", "must be at most 2000");
+        }
         let most = self.return_latest_ms;
         if most > MAX_RETURN_MS {
             return error("return_latest_ms", "must be at most 10000");
