Correct forecasts by how far the last ones were off, and grade the shares by rank

Change: the node notes at admission how long each phase should take and keeps, for each service, the mean by which phases took longer, half forgotten in 2 s; forecasts hold it. Shares are 1.0, 0.9, 0.7, 0.6.

--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -280,8 +280,9 @@
             remaining_ms: (since + wait).saturating_sub(now),
             phases: routed.route.phases.len(),
         });
-        let request = ActiveRequest::new(call, routed, self.policy, since, since + wait);
+        let mut request = ActiveRequest::new(call, routed, self.policy, since, since + wait);
         let refused = self.admission.refuses(&request, now);
+        self.admission.note_forecasts(&mut request, now);
         self.requests.insert(number, request);
         if let Some(come_back_in) = refused {
             return self.end(number, ResultCode::PhaseOverloaded, Some(come_back_in), now);
@@ -404,6 +405,11 @@
         });
         match result {
             Ok(handles) => {
+                if let Some(forecast) = request.phases.forecast_ms(phase) {
+                    let service = &request.routed.route.phases[phase].service;
+                    let took = request.phases.took_ms(phase, now);
+                    self.admission.saw_phase(service, forecast, took, now);
+                }
                 let mut actions = request.phase_made(phase, handles);
                 actions.extend(self.advance(number, now));
                 actions
--- a/crates/serving/src/dispatcher/admission.rs
+++ b/crates/serving/src/dispatcher/admission.rs
@@ -18,9 +18,33 @@
 /// nothing of others.
 const FIRST_PART_MOST: f64 = 1_000.0;
 
+/// Weight of a phase in the mean error of its service's forecasts: about the last seven.
+const ERROR_WEIGHT: f64 = 0.15;
+/// Most that one phase counts in that mean, in milliseconds.
+const ERROR_MOST: f64 = 1_000.0;
+/// Time after which half of that mean is forgotten, in milliseconds: where all are refused,
+/// nothing corrects it.
+const ERROR_HALF_LIFE: f64 = 2_000.0;
+
+/// By how much phases of a service lately took longer than was forecast for them when their
+/// requests were admitted, in milliseconds.
+#[derive(Clone, Copy)]
+struct ForecastError {
+    mean: f64,
+    at: Millis,
+}
+
+impl ForecastError {
+    fn present(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.at) as f64;
+        self.mean * 0.5_f64.powf(age / ERROR_HALF_LIFE)
+    }
+}
+
 /// What the batching nodes told.
 pub(super) struct Admission {
     policy: Policy,
+    errors: BTreeMap<String, ForecastError>,
     waits: BTreeMap<String, (ServiceWaits, Millis)>,
     first_parts: BTreeMap<String, f64>,
 }
@@ -29,6 +53,7 @@
     pub(super) fn new(policy: Policy) -> Self {
         Self {
             policy,
+            errors: BTreeMap::new(),
             waits: BTreeMap::new(),
             first_parts: BTreeMap::new(),
         }
@@ -66,7 +91,39 @@
         }
         let rank = usize::from(rank).min(RANKS - 1);
         let turn = begin.max(u64::from(waits.backlog_ms[rank]));
-        turn + u64::from(waits.call_ms)
+        turn + u64::from(waits.call_ms) + self.error_ms(service, now)
+    }
+
+    /// What phases of a service take longer than is forecast, in milliseconds.
+    fn error_ms(&self, service: &str, now: Millis) -> u64 {
+        if !self.policy.corrected_forecasts {
+            return 0;
+        }
+        let error = self.errors.get(service).map(|error| error.present(now));
+        error.unwrap_or_default().max(0.0) as u64
+    }
+
+    /// A phase of a service took so long, after `forecast` was expected.
+    pub(super) fn saw_phase(&mut self, service: &str, forecast: u64, took: u64, now: Millis) {
+        let known = self.errors.get(service).copied();
+        let mean = known.map_or(0.0, |error| error.present(now));
+        // The forecast held the error that was known then.
+        let seen = took as f64 - forecast as f64;
+        let seen = seen.clamp(-ERROR_MOST, ERROR_MOST);
+        let next = ForecastError {
+            mean: (mean + ERROR_WEIGHT * seen).clamp(0.0, ERROR_MOST),
+            at: now,
+        };
+        self.errors.insert(service.to_owned(), next);
+    }
+
+    /// Notes what is expected of each phase of an admitted request.
+    pub(super) fn note_forecasts(&self, request: &mut ActiveRequest, now: Millis) {
+        let rank = request.routed.priority;
+        let specs = &request.routed.route.phases;
+        let end_of =
+            |phase: usize, begin: u64| self.end_of(&specs[phase].service, rank, begin, now);
+        request.phases.set_forecasts(end_of);
     }
 
     /// When a request shall come back that can't be expected to keep its
--- a/crates/serving/src/dispatcher/phases.rs
+++ b/crates/serving/src/dispatcher/phases.rs
@@ -21,6 +21,8 @@
     pieces: u32,
     state: PhaseState,
     submitted_at: Millis,
+    /// How long the phase was expected to take when its request was admitted.
+    forecast_ms: Option<u64>,
     /// The number that its order will have, once it is announced.
     announced: Option<WorkId>,
 }
@@ -49,6 +51,7 @@
                     pieces,
                     state,
                     submitted_at: 0,
+                    forecast_ms: None,
                     announced: None,
                 }
             })
@@ -107,6 +110,27 @@
         ends.into_iter().max().filter(|_| has_phases)
     }
 
+    /// Takes in how long each phase is expected to take, by [`PhaseBook::expected_end`]'s
+    /// function.
+    pub(super) fn set_forecasts(&mut self, end_of: impl Fn(usize, u64) -> u64) {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.phases.len());
+        for (number, phase) in self.phases.iter_mut().enumerate() {
+            let before = phase.after.iter().filter_map(|before| ends.get(*before));
+            let begin = before.copied().max().unwrap_or_default();
+            let end = match phase.state {
+                PhaseState::LeftOut => begin,
+                _ => end_of(number, begin),
+            };
+            phase.forecast_ms = Some(end - begin).filter(|forecast| *forecast > 0);
+            ends.push(end);
+        }
+    }
+
+    /// How long a phase was expected to take; none where nothing was known.
+    pub(super) fn forecast_ms(&self, phase: usize) -> Option<u64> {
+        self.phases[phase].forecast_ms
+    }
+
     /// Phases that wait for others and are not announced.
     pub(super) fn to_announce(&self) -> Vec<usize> {
         let phases = self.phases.iter().enumerate();
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -32,6 +32,8 @@
     pub announced_orders: bool,
     /// Requests whose chain can't be expected to end in time are refused.
     pub chain_admission: bool,
+    /// Forecasts are corrected by how far the last ones of a service were off.
+    pub corrected_forecasts: bool,
     /// Orders of more urgent requests go first.
     pub rank_order: bool,
     /// Orders too late for their objective stand back.
@@ -63,12 +65,13 @@
             whole_orders: true,
             announced_orders: true,
             chain_admission: true,
+            corrected_forecasts: true,
             rank_order: true,
             late_orders_stand_back: true,
             pass_over_slow: true,
             pass_over_failing: true,
             early_freeing: true,
-            admitted_shares: [1.0, 0.95, 0.8, 0.8],
+            admitted_shares: [1.0, 0.9, 0.7, 0.6],
             return_after_ms: 300,
             return_latest_ms: 3_000,
         }
--- a/crates/serving/tests/dispatcher.rs
+++ b/crates/serving/tests/dispatcher.rs
@@ -276,6 +276,58 @@
     assert_eq!(!submitted(&actions).is_empty(), is_admitted);
 }
 
+/// Waits by which a chain of two phases ends after 1,650 of 2,000 ms.
+fn waits_of_encode() -> ServiceWaits {
+    ServiceWaits {
+        service: "encode".into(),
+        backlog_ms: [100, 900, 900, 900],
+        call_ms: 300,
+    }
+}
+
+/// Admits a request at 10 ms, whose first phase takes until `made_at`, and tells whether
+/// the next one, a little later, is admitted by the same waits.
+fn is_admitted_after(made_at: u64, policy: Policy) -> bool {
+    let mut dispatcher = dispatcher_with(policy);
+    let mut request = call_of("r", "/staged/x");
+    request.pieces = vec![1, 1, 0];
+    dispatcher.set_waits(waits_of_encode(), 10);
+    let works = submitted(&dispatcher.arrive(1, request.clone(), 10));
+    dispatcher.phase_done(works[0].0, Ok(vec![handle("1")]), made_at);
+    dispatcher.set_waits(waits_of_encode(), made_at);
+    let actions = dispatcher.arrive(2, request, made_at);
+    !submitted(&actions).is_empty()
+}
+
+#[rstest]
+#[case::as_forecast(1_210, true)]
+#[case::longer_than_forecast(2_900, false)]
+fn phases_that_take_longer_than_forecast_make_their_service_admit_less(
+    #[case] made_at: u64,
+    #[case] is_admitted: bool,
+) {
+    assert_eq!(is_admitted_after(made_at, admitting(0.95)), is_admitted);
+    let uncorrected = Policy {
+        corrected_forecasts: false,
+        ..admitting(0.95)
+    };
+    assert!(is_admitted_after(made_at, uncorrected));
+}
+
+/// Where all are refused nothing would correct the error.
+#[test]
+fn what_is_known_of_a_forecasts_error_is_forgotten() {
+    let mut dispatcher = dispatcher_with(admitting(0.95));
+    let mut request = call_of("r", "/staged/x");
+    request.pieces = vec![1, 1, 0];
+    dispatcher.set_waits(waits_of_encode(), 10);
+    let works = submitted(&dispatcher.arrive(1, request.clone(), 10));
+    dispatcher.phase_done(works[0].0, Ok(vec![handle("1")]), 2_900);
+    dispatcher.set_waits(waits_of_encode(), 12_900);
+    let actions = dispatcher.arrive(2, request, 12_900);
+    assert_eq!(submitted(&actions).len(), 1);
+}
+
 #[test]
 fn a_request_that_was_not_sent_in_time_is_refused_and_its_work_dropped() {
     let mut dispatcher = dispatcher();
