Split settings and the dispatcher, and tell expected times of phases in one place

Change: settings/gateway.rs, settings/validation.rs, dispatcher/action.rs; PhaseBook::expected_times serves both admission and forecasts. Moves only, no other behaviour.

--- /dev/null
+++ b/crates/daemon/src/settings/gateway.rs
@@ -0,0 +1,73 @@
+//! Settings of the surface for pass-through requests.
+
+use serde::Deserialize;
+use silversail_serving::policy::Policy;
+
+/// The surface for pass-through requests. Addresses are IP numbers and ports.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// For callers' requests.
+    pub callers: String,
+    /// For the question whether this process is ready.
+    pub readiness: String,
+    /// For the traffic configuration.
+    pub control: String,
+    /// For the question which addresses to use.
+    pub entry_points: String,
+    /// Region of this process.
+    #[serde(default)]
+    pub region: String,
+    /// Where the list of back ends is read.
+    pub backend_list: String,
+    /// Calls of the list that all processes together may make in a second.
+    #[serde(default = "default_list_rate")]
+    pub backend_list_rate: f64,
+    /// How long callers keep an entry-point answer, in milliseconds.
+    #[serde(default = "default_answer_lifetime")]
+    pub answer_lifetime_ms: u64,
+    /// Time from the order to stop until the process is killed, in
+    /// milliseconds.
+    #[serde(default = "default_stop_grace")]
+    pub stop_grace_ms: u64,
+    /// Oldest confirmation on which a read of the traffic configuration is
+    /// answered, in milliseconds.
+    #[serde(default = "default_read_staleness")]
+    pub read_staleness_ms: u64,
+    /// Second sends of a request, as a share of requests, over all processes.
+    #[serde(default = "default_retry_ratio")]
+    pub retry_ratio: f64,
+    /// Second sends that are allowed beyond the share, over all processes.
+    #[serde(default)]
+    pub retry_allowance: f64,
+    /// The time over which both are counted, in milliseconds.
+    #[serde(default = "default_retry_window")]
+    pub retry_window_ms: u64,
+    /// Switches and figures of the decisions.
+    #[serde(default)]
+    pub policy: Policy,
+}
+
+fn default_list_rate() -> f64 {
+    10.0
+}
+
+fn default_answer_lifetime() -> u64 {
+    2_000
+}
+
+fn default_stop_grace() -> u64 {
+    8_000
+}
+
+fn default_read_staleness() -> u64 {
+    1_500
+}
+
+fn default_retry_ratio() -> f64 {
+    0.1
+}
+
+fn default_retry_window() -> u64 {
+    10_000
+}
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -4,24 +4,25 @@
 //! The dispatcher holds the state of all requests of a node. Its inputs return
 //! [`Action`]s, which the caller carries out.
 
+mod action;
 mod admission;
 mod outcomes;
 mod phases;
 mod request;
 
-use crate::batcher::AnnouncedOrder;
 use crate::instances::InstanceTable;
 use crate::policy::Policy;
-use crate::ports::{CallAttributes, ReportedLoad, SendAttributes};
+use crate::ports::{CallAttributes, ReportedLoad};
 use crate::retry_budget::{RetryBudget, RetryLimits};
 use crate::routes::{RouteError, RouteTable, Routed};
 use crate::selection::select;
 use crate::Millis;
+pub use action::{Action, NotRunReason, Refusal, SendOutcome, SendPlan, UnknownReason};
 use admission::Admission;
 use request::{ActiveRequest, PresentSend};
 use silversail_decisions::{DecisionLog, Event};
 use silversail_model::ResultCode;
-use silversail_peer::{PhaseWork, PieceFailure, ResultHandle, ServiceWaits, WorkId};
+use silversail_peer::{PieceFailure, ResultHandle, ServiceWaits, WorkId};
 use std::collections::BTreeMap;
 
 /// When a caller is told to come back after a refusal under load, in
@@ -35,129 +36,6 @@
 /// Identifies a request at its node.
 pub type RequestNumber = u64;
 
-/// A refusal, or a request given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// Numbered code; it tells the status.
-    pub code: ResultCode,
-    /// When to come back, in milliseconds.
-    pub retry_after_ms: Option<u64>,
-}
-
-/// A request to be sent to an engine.
-#[derive(Clone, Debug, PartialEq)]
-pub struct SendPlan {
-    /// Identity of the engine.
-    pub instance: String,
-    /// Its address.
-    pub address: String,
-    /// What goes with the request.
-    pub attributes: SendAttributes,
-    /// When the request ends.
-    pub end: Millis,
-    /// Whether the answer is a stream.
-    pub is_stream: bool,
-    /// Whether a failure of the engine may be kept from the caller, as the request
-    /// can be sent again.
-    pub may_repeat: bool,
-}
-
-/// What the caller of the dispatcher has to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Answer the caller.
-    Answer {
-        /// The request.
-        number: RequestNumber,
-        /// The answer.
-        refusal: Refusal,
-    },
-    /// Send the request to an engine.
-    Send {
-        /// The request.
-        number: RequestNumber,
-        /// Where and how.
-        plan: SendPlan,
-    },
-    /// Have a phase's pieces made.
-    Submit {
-        /// Identifies the order.
-        work: WorkId,
-        /// The request's identifier, for the log.
-        request: String,
-        /// The pieces.
-        phase: PhaseWork,
-    },
-    /// Tell of an order to come.
-    Announce {
-        /// Identifies the order.
-        work: WorkId,
-        /// Its service and size.
-        order: AnnouncedOrder,
-    },
-    /// Drop an order.
-    Cancel {
-        /// The order.
-        work: WorkId,
-        /// Its service.
-        service: String,
-    },
-    /// Free results.
-    Release {
-        /// The service that made them.
-        service: String,
-        /// The results.
-        handles: Vec<ResultHandle>,
-    },
-}
-
-/// Why an engine is known not to have run a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NotRunReason {
-    /// It was not reached: nothing was sent.
-    Unreachable,
-    /// It said that it is full.
-    Full,
-    /// Another engine has its address.
-    Misplaced,
-    /// A result that it needs is gone.
-    InputsGone,
-    /// It said so for another reason.
-    Refused,
-}
-
-/// Why it is not known whether an engine ran a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum UnknownReason {
-    /// The connection broke before the answer's head.
-    Broken,
-    /// The answer is not in the protocol, or names another request.
-    Garbled,
-    /// The time was over.
-    Deadline,
-}
-
-/// What came of a send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SendOutcome {
-    /// The engine's answer went to the caller, as far as it came.
-    Delivered {
-        /// Its status.
-        status: u16,
-        /// Whether it was whole.
-        is_whole: bool,
-    },
-    /// The engine did not run the request.
-    NotRun(NotRunReason),
-    /// It may have run.
-    Unknown(UnknownReason),
-    /// It ran and failed with this status, and the answer was not passed on.
-    Failed {
-        /// Its status.
-        status: u16,
-    },
-}
-
 /// All requests of a node.
 pub struct Dispatcher {
     zone: String,
--- a/crates/serving/src/dispatcher/phases.rs
+++ b/crates/serving/src/dispatcher/phases.rs
@@ -92,37 +92,37 @@
             .collect()
     }
 
-    /// When all phases are done, if none is begun yet, in milliseconds from now;
-    /// none without phases. `end_of` tells when a phase that begins at a time ends.
-    pub(super) fn expected_end(&self, end_of: impl Fn(usize, u64) -> u64) -> Option<u64> {
-        let mut ends: Vec<u64> = Vec::with_capacity(self.phases.len());
+    /// When each phase begins and ends, if none is begun yet, in milliseconds from now.
+    /// `end_of` tells when a phase that begins at a time ends.
+    fn expected_times(&self, end_of: impl Fn(usize, u64) -> u64) -> Vec<(u64, u64)> {
+        let mut times: Vec<(u64, u64)> = Vec::with_capacity(self.phases.len());
         for (number, phase) in self.phases.iter().enumerate() {
-            let before = phase.after.iter().filter_map(|before| ends.get(*before));
-            let begin = before.copied().max().unwrap_or_default();
+            let before = phase.after.iter().filter_map(|before| times.get(*before));
+            let begin = before.map(|(_, end)| *end).max().unwrap_or_default();
             let end = match phase.state {
                 PhaseState::LeftOut => begin,
                 _ => end_of(number, begin),
             };
-            ends.push(end);
+            times.push((begin, end));
         }
+        times
+    }
+
+    /// When all phases are done, as [`PhaseBook::expected_times`] tells; none without
+    /// phases.
+    pub(super) fn expected_end(&self, end_of: impl Fn(usize, u64) -> u64) -> Option<u64> {
         let is_present = |phase: &Phase| phase.state != PhaseState::LeftOut;
         let has_phases = self.phases.iter().any(is_present);
-        ends.into_iter().max().filter(|_| has_phases)
+        let ends = self.expected_times(end_of).into_iter().map(|(_, end)| end);
+        ends.max().filter(|_| has_phases)
     }
 
-    /// Takes in how long each phase is expected to take, by [`PhaseBook::expected_end`]'s
-    /// function.
+    /// Notes how long each phase is expected to take, as [`PhaseBook::expected_times`]
+    /// tells.
     pub(super) fn set_forecasts(&mut self, end_of: impl Fn(usize, u64) -> u64) {
-        let mut ends: Vec<u64> = Vec::with_capacity(self.phases.len());
-        for (number, phase) in self.phases.iter_mut().enumerate() {
-            let before = phase.after.iter().filter_map(|before| ends.get(*before));
-            let begin = before.copied().max().unwrap_or_default();
-            let end = match phase.state {
-                PhaseState::LeftOut => begin,
-                _ => end_of(number, begin),
-            };
+        let times = self.expected_times(end_of);
+        for (phase, (begin, end)) in self.phases.iter_mut().zip(times) {
             phase.forecast_ms = Some(end - begin).filter(|forecast| *forecast > 0);
-            ends.push(end);
         }
     }
 
