--- a/crates/serving/tests/dispatcher.rs
+++ b/crates/serving/tests/dispatcher.rs
@@ -63,6 +63,15 @@
     }
 }
 
+/// Waits by which a chain of two phases ends after 1,650 of 2,000 ms.
+fn waits_of_encode() -> ServiceWaits {
+    ServiceWaits {
+        service: "encode".into(),
+        backlog_ms: [100, 900, 900, 900],
+        call_ms: 300,
+    }
+}
+
 #[test]
 fn without_a_configuration_a_request_is_told_to_come_back() {
     let mut dispatcher = Dispatcher::new("a", LIMITS, Policy::default(), 1, DecisionLog::off());
@@ -234,12 +243,7 @@
 #[test]
 fn a_chain_that_cannot_keep_the_objective_is_refused_at_entry() {
     let mut dispatcher = dispatcher_with(admitting(0.8));
-    let waits = ServiceWaits {
-        service: "encode".into(),
-        backlog_ms: [100, 900, 900, 900],
-        call_ms: 300,
-    };
-    dispatcher.set_waits(waits, 0);
+    dispatcher.set_waits(waits_of_encode(), 0);
     let mut request = call_of("r", "/staged/x");
     request.pieces = vec![1, 1, 0];
     let refusal = answered(&dispatcher.arrive(1, request.clone(), 10));
@@ -264,27 +268,13 @@
         chain_admission,
         ..Policy::default()
     });
-    let waits = ServiceWaits {
-        service: "encode".into(),
-        backlog_ms: [100, 900, 900, 900],
-        call_ms: 300,
-    };
-    dispatcher.set_waits(waits, 0);
+    dispatcher.set_waits(waits_of_encode(), 0);
     let mut request = call_of("r", "/staged/x");
     request.pieces = vec![1, 1, 0];
     let actions = dispatcher.arrive(1, request, 10);
     assert_eq!(!submitted(&actions).is_empty(), is_admitted);
 }
 
-/// Waits by which a chain of two phases ends after 1,650 of 2,000 ms.
-fn waits_of_encode() -> ServiceWaits {
-    ServiceWaits {
-        service: "encode".into(),
-        backlog_ms: [100, 900, 900, 900],
-        call_ms: 300,
-    }
-}
-
 /// Admits a request at 10 ms, whose first phase takes until `made_at`, and tells whether
 /// the next one, a little later, is admitted by the same waits.
 fn is_admitted_after(made_at: u64, policy: Policy) -> bool {
