--- a/crates/serving/src/batcher/order.rs
+++ b/crates/serving/src/batcher/order.rs
@@ -113,9 +113,11 @@
         waiting.map(fits).take_while(|fits| *fits).count()
     }
 
-    /// Whether it had better be made in another zone than `zone`.
+    /// Whether it had better be made in another zone than `zone`. An order of a zone's
+    /// shard has no other makers to wait for.
     pub(super) fn is_far_from(&self, zone: &str) -> bool {
-        !self.work.zone.is_empty() && self.work.zone != zone
+        let may_choose = self.work.shard.zone.is_none() && !self.work.zone.is_empty();
+        may_choose && self.work.zone != zone
     }
 
     /// Whether a call may take only `fitting` of its waiting pieces at `now`.
--- a/crates/serving/tests/batcher.rs
+++ b/crates/serving/tests/batcher.rs
@@ -548,3 +548,17 @@
     let nowhere = batcher.submit(key(9), in_zone("c", 9), &table, 0);
     assert_eq!(nowhere, Err(PieceFailure::NoBackend));
 }
+
+#[test]
+fn an_order_that_was_sent_to_another_zones_shard_does_not_wait_for_its_own_zone() {
+    let (table, mut batcher) = (table(&[("s1", "a"), ("s2", "b")]), batcher());
+    let sent_away = PhaseWork {
+        shard: Shard::in_zone("encode", "a"),
+        zone: "b".into(),
+        ..work(1, 2)
+    };
+    batcher.submit(key(1), sent_away, &table, 0).expect("taken");
+    let calls = batcher.next_calls(&table, 0);
+    assert_eq!(calls.len(), 1);
+    assert_eq!(calls[0].instance, "s1");
+}
