Send views as differences

The leader changed five times in 10 s and owners of shards 95,000 times over all nodes: each change of a view of 300 nodes was sent whole, 21 KB to each relay each 100 ms and to each node with each change of an owner, which fills the voters' links; heartbeats come late, leases lapse, and the views change the more. The decision log names nodes that joined and left.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod traffic_update;
 pub mod update;
 pub mod view;
+pub mod view_update;
 
 pub use batch_owners::BatchOwners;
 pub use change::{ChangeOutcome, ChangeRequest};
@@ -26,3 +27,4 @@
 pub use traffic_update::{TrafficUpdate, TrafficUpdates, UpdateError};
 pub use update::{AppliedConfiguration, ConfigurationUpdate};
 pub use view::{ClusterView, MachineState, NodeReport, NodeStatus, ViewVersion};
+pub use view_update::{ViewGap, ViewHistory, ViewUpdate};
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -25,7 +25,7 @@
 use silversail_serving::ports::Protocols;
 use silversail_serving::retry_budget::RetryLimits;
 use stakker::{after, Actor, CX};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -97,6 +97,8 @@
     pub(super) owner_watch: OwnerWatch,
     pub(super) traffic_version: Option<u64>,
     pub(super) view_changes: u64,
+    /// The usable nodes of the last view.
+    pub(super) usable_nodes: BTreeSet<String>,
     /// The processes of the last view, by node.
     pub(super) processes: BTreeMap<NodeName, u64>,
     pub(super) listing_version: Option<ListingVersion>,
@@ -136,6 +138,7 @@
             owner_watch: OwnerWatch::default(),
             traffic_version: None,
             view_changes: 0,
+            usable_nodes: BTreeSet::new(),
             processes: BTreeMap::new(),
             listing_version: None,
             list_works: true,
--- a/crates/daemon/src/gateway/following.rs
+++ b/crates/daemon/src/gateway/following.rs
@@ -12,7 +12,7 @@
 use silversail_peer::{Listing, WorkId};
 use silversail_serving::routes::RouteTable;
 use stakker::{call, CX};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A node that gave a sign within this time works, whatever the view says, in
 /// milliseconds.
@@ -151,14 +151,17 @@
             }
             self.view_changes = state.view_changes;
             let nodes = state.view.usable_nodes();
-            let names: Vec<String> = nodes.map(|status| status.node.0.clone()).collect();
+            let names: BTreeSet<String> = nodes.map(|status| status.node.0.clone()).collect();
             (state.view.version, names)
         };
         self.dispatcher.set_nodes(names.len());
         self.setup.log.record(LogEvent::View {
             version: format!("{}.{}", version.term, version.sequence),
-            nodes: names,
+            usable: names.len(),
+            joined: names.difference(&self.usable_nodes).cloned().collect(),
+            left: self.usable_nodes.difference(&names).cloned().collect(),
         });
+        self.usable_nodes = names;
         self.follow_processes(now);
         self.refresh_owners(now);
     }
--- a/crates/daemon/src/session/node_state.rs
+++ b/crates/daemon/src/session/node_state.rs
@@ -4,7 +4,9 @@
 use silversail_consensus::{Freshness, Millis};
 use silversail_control::batch_owners::BatchOwners;
 use silversail_control::view::merge_machine;
-use silversail_control::{AppliedConfiguration, ClusterView, MachineState, SharedTraffic};
+use silversail_control::{
+    AppliedConfiguration, ClusterView, MachineState, SharedTraffic, ViewUpdate,
+};
 use silversail_model::{NodeName, TrafficVersion};
 use silversail_peer::SharedListing;
 use std::cell::RefCell;
@@ -31,6 +33,8 @@
     pub listing: Option<SharedListing>,
     /// When that node is known to have read the same list, at the latest.
     pub listing_confirmed_at: Option<Millis>,
+    /// Newest view as it was told.
+    pub told_view: ClusterView,
     /// Newest view, with the nodes that are carried over a change of leader.
     pub view: ClusterView,
     /// Counts the changes of `view`.
@@ -73,11 +77,25 @@
         true
     }
 
+    /// Takes in what changed of the view; true when that is news.
+    pub fn update_view(&mut self, update: &ViewUpdate, now: Millis) -> bool {
+        match update.applied_to(&self.told_view) {
+            Ok(Some(view)) => self.take_view(view, now),
+            Ok(None) => false,
+            Err(gap) => {
+                // The next heartbeat tells the relay what is held here.
+                log::info!(event = "view_update_refused"; "{gap}");
+                false
+            }
+        }
+    }
+
     /// Takes a view that is newer; true when it is.
     pub fn take_view(&mut self, mut view: ClusterView, now: Millis) -> bool {
         if view.version <= self.view.version {
             return false;
         }
+        self.told_view = view.clone();
         for machine in &view.machines {
             self.merge_machine(machine);
         }
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -9,7 +9,8 @@
 use silversail_consensus::Millis;
 use silversail_control::batch_owners::MakersByZone;
 use silversail_control::{
-    ClusterView, ControlState, MembershipTable, NodeReport, TrafficUpdates, ViewVersion,
+    ClusterView, ControlState, MembershipTable, NodeReport, TrafficUpdates, ViewHistory,
+    ViewUpdate, ViewVersion,
 };
 use silversail_model::{NodeName, Revision, TrafficVersion};
 use silversail_peer::{
@@ -28,10 +29,6 @@
 /// A session without a heartbeat for so long gets no pushes, in milliseconds.
 const SESSION_SILENCE: Millis = 5_000;
 
-/// A node is sent views with answers to heartbeats at least this long apart for each node
-/// that the view names, in milliseconds: a view of 300 nodes has 21 KB, and while they
-/// join and send heartbeats each 100 ms, a relay of 50 had 10 MB/s to send on 12 MB/s.
-const VIEW_PAUSE_PER_NODE: Millis = 2;
 /// A leader sends an unchanged listing whole once in so many reads, for relays that
 /// missed it.
 const READS_PER_WHOLE_LISTING: u32 = 10;
@@ -70,8 +67,8 @@
     revision: Option<Revision>,
     traffic: Option<TrafficVersion>,
     heard_at: Millis,
-    /// When it was last sent the view.
-    view_sent_at: Option<Millis>,
+    /// The view that it has, by its last heartbeat.
+    view: ViewVersion,
 }
 
 /// Serves sessions.
@@ -80,6 +77,7 @@
     sessions: BTreeMap<NodeName, Session>,
     pending_reports: BTreeMap<NodeName, NodeReport>,
     view: ClusterView,
+    views: ViewHistory,
     table: Option<(u64, MembershipTable)>,
     sent_version: ViewVersion,
     traffic: TrafficUpdates,
@@ -99,6 +97,7 @@
             sessions: BTreeMap::new(),
             pending_reports: BTreeMap::new(),
             view: ClusterView::default(),
+            views: ViewHistory::default(),
             table: None,
             sent_version: ViewVersion::default(),
             traffic: TrafficUpdates::default(),
@@ -154,18 +153,21 @@
         table.assign_services(&services, &self.makers, &replicating, now);
         if table.version() != self.sent_version {
             let view = table.view();
-            self.sent_version = view.version;
+            let sent = std::mem::replace(&mut self.sent_version, view.version);
             self.take_view(view, now);
-            self.send_to_relays();
+            self.send_to_relays(sent);
         }
     }
 
-    fn send_to_relays(&mut self) {
+    /// Tells the relays what changed since the version `sent` before; one that missed it
+    /// shows so with its next reports.
+    fn send_to_relays(&mut self, sent: ViewVersion) {
+        let update = self.views.since(sent, &self.view);
         let mut outbox = self.setup.outbox.borrow_mut();
         let own = outbox.node().clone();
         let relays = self.setup.directory.borrow().replicating();
         for relay in relays.iter().filter(|relay| **relay != own) {
-            let message = SessionMessage::View(self.view.clone());
+            let message = SessionMessage::View(update.clone());
             outbox.send(relay, PeerMessage::Session(message));
         }
     }
@@ -191,17 +193,14 @@
         let now = self.now(cx);
         self.follow_traffic();
         let revision = heartbeat.report.revision;
-        let former = self.sessions.get(&from);
-        let view_sent_at = former.and_then(|session| session.view_sent_at);
-        let wants_view = self.view_is_due(&heartbeat, view_sent_at, now);
         let session = Session {
             revision,
             traffic: heartbeat.report.traffic,
             heard_at: now,
-            view_sent_at: if wants_view { Some(now) } else { view_sent_at },
+            view: heartbeat.view,
         };
         self.sessions.insert(from.clone(), session);
-        let reply = self.reply(&heartbeat, wants_view, now);
+        let reply = self.reply(&heartbeat, now);
         if let Some(update) = &reply.update {
             log::debug!(event = "session_update", to = from.as_str(); "{update:?}");
             if let Some(session) = self.sessions.get_mut(&from) {
@@ -216,20 +215,8 @@
         self.setup.outbox.borrow_mut().send(&from, message);
     }
 
-    /// Whether a node gets the view with the answer to its heartbeat: when it has an older
-    /// one. While many nodes join, each heartbeat finds a newer one.
-    fn view_is_due(
-        &self,
-        heartbeat: &SessionHeartbeat,
-        sent_at: Option<Millis>,
-        now: Millis,
-    ) -> bool {
-        let pause = VIEW_PAUSE_PER_NODE * self.view.nodes.len() as Millis;
-        let has_paused = sent_at.is_none_or(|at| now.saturating_sub(at) >= pause);
-        self.view.version > heartbeat.view && has_paused
-    }
-
-    fn reply(&self, heartbeat: &SessionHeartbeat, wants_view: bool, now: Millis) -> SessionReply {
+    fn reply(&self, heartbeat: &SessionHeartbeat, now: Millis) -> SessionReply {
+        let wants_view = self.view.version > heartbeat.view;
         let control = self.setup.machine.borrow();
         let machine = &control.configuration;
         let age = self.setup.status.borrow().freshness.age(now);
@@ -248,7 +235,7 @@
             update,
             traffic_version: control.published.as_ref().map(|one| one.version()),
             traffic: newer,
-            view: wants_view.then(|| self.view.clone()),
+            view: wants_view.then(|| Box::new(self.views.since(heartbeat.view, &self.view))),
             listing_age: self.listing.as_ref().map(|held| {
                 let age = now.saturating_sub(held.confirmed_at);
                 (held.listing.version, age)
@@ -272,7 +259,7 @@
     ) {
         if self.table.is_some() && view < self.view.version {
             // The relay was away when the view changed, or the message was lost.
-            let message = SessionMessage::View(self.view.clone());
+            let message = SessionMessage::View(self.views.since(view, &self.view));
             self.setup
                 .outbox
                 .borrow_mut()
@@ -284,10 +271,13 @@
     }
 
     /// The leader's view.
-    pub fn view(&mut self, cx: CX![], view: ClusterView) {
+    pub fn view(&mut self, cx: CX![], update: ViewUpdate) {
         let now = self.now(cx);
-        if view.version > self.view.version {
-            self.take_view(view, now);
+        match update.applied_to(&self.view) {
+            Ok(Some(view)) => self.take_view(view, now),
+            Ok(None) => {}
+            // The next reports tell the leader what is held here.
+            Err(gap) => log::info!(event = "view_update_refused"; "{gap}"),
         }
     }
 
@@ -295,10 +285,21 @@
     /// at once, as orders wait for them.
     fn take_view(&mut self, view: ClusterView, now: Millis) {
         let has_other_owners = view.batch_owners != self.view.batch_owners;
+        self.views.changed(&self.view, &view);
         self.view = view;
         if has_other_owners {
-            let message = SessionMessage::PushView(self.view.clone());
-            self.tell_nodes(message, now);
+            self.push_view(now);
+        }
+    }
+
+    fn push_view(&self, now: Millis) {
+        let mut outbox = self.setup.outbox.borrow_mut();
+        for (node, session) in &self.sessions {
+            if now.saturating_sub(session.heard_at) <= SESSION_SILENCE {
+                let update = self.views.since(session.view, &self.view);
+                let message = SessionMessage::PushView(update);
+                outbox.send(node, PeerMessage::Session(message));
+            }
         }
     }
 
--- a/crates/daemon/src/session/session_actor.rs
+++ b/crates/daemon/src/session/session_actor.rs
@@ -9,7 +9,7 @@
 use silversail_backend::MachineList;
 use silversail_consensus::Millis;
 use silversail_control::{
-    ClusterView, ConfigurationUpdate, MachineState, NodeReport, TrafficUpdate,
+    ConfigurationUpdate, MachineState, NodeReport, TrafficUpdate, ViewUpdate,
 };
 use silversail_model::NodeName;
 use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply, SharedListing};
@@ -149,7 +149,7 @@
                     traffic: state.traffic_version(),
                     machines: state.machines_unknown_to_view(),
                 },
-                view: state.view.version,
+                view: state.told_view.version,
                 listing: state.listing.as_ref().map(|listing| listing.version),
             })
         };
@@ -209,7 +209,7 @@
                 state.freshness.advance(as_of);
             }
             if let Some(view) = reply.view {
-                changed |= state.take_view(view, now);
+                changed |= state.update_view(&view, now);
             }
         }
         if changed {
@@ -252,9 +252,9 @@
     }
 
     /// A view that the relay pushed.
-    pub fn push_view(&mut self, cx: CX![], view: ClusterView) {
+    pub fn push_view(&mut self, cx: CX![], update: ViewUpdate) {
         let now = self.setup.clock.millis(cx.now());
-        if self.setup.state.borrow_mut().take_view(view, now) {
+        if self.setup.state.borrow_mut().update_view(&update, now) {
             fwd!([self.setup.on_change], ());
         }
     }
--- a/crates/daemon/tests/directory.rs
+++ b/crates/daemon/tests/directory.rs
@@ -2,8 +2,8 @@
 
 use silversail_daemon::directory::Directory;
 use silversail_model::NodeName;
-use silversail_peer::{encode, Contact, ContactsHeld, DiscoveryMessage, HeardContact};
 use silversail_peer::message::PROTOCOL_VERSION;
+use silversail_peer::{encode, Contact, ContactsHeld, DiscoveryMessage, HeardContact};
 use silversail_peer::{Envelope, PeerMessage};
 
 const NODES: usize = 300;
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -208,8 +208,12 @@
     View {
         /// Its version, as `term.sequence`.
         version: String,
-        /// Usable nodes.
-        nodes: Vec<String>,
+        /// How many nodes are usable.
+        usable: usize,
+        /// Nodes that became usable.
+        joined: Vec<String>,
+        /// Nodes that are usable no more.
+        left: Vec<String>,
     },
     /// The leader of a group changed, as this node knows it.
     Leader {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -5,14 +5,12 @@
 use crate::work::WorkMessage;
 use serde::{Deserialize, Serialize};
 use silversail_consensus::{JoinRequest, Message, Millis, ReplicaId, Snapshot};
-use silversail_control::{
-    ClusterView, ConfigurationUpdate, NodeReport, TrafficUpdate, ViewVersion,
-};
+use silversail_control::{ConfigurationUpdate, NodeReport, TrafficUpdate, ViewUpdate, ViewVersion};
 use silversail_model::{NodeName, Revision, TrafficVersion};
 use std::fmt;
 
 /// Version of the message format; other versions are dropped.
-pub const PROTOCOL_VERSION: u8 = 4;
+pub const PROTOCOL_VERSION: u8 = 5;
 
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -163,8 +161,8 @@
     pub traffic_version: Option<TrafficVersion>,
     /// The relay's traffic configuration, where the node's is older.
     pub traffic: Option<TrafficUpdate>,
-    /// A newer view than the node's.
-    pub view: Option<ClusterView>,
+    /// What the node's view lacks.
+    pub view: Option<Box<ViewUpdate>>,
     /// Version of the relay's listing, and how long ago the leader last read the
     /// same, in milliseconds.
     pub listing_age: Option<(ListingVersion, Millis)>,
@@ -196,7 +194,7 @@
         view: ViewVersion,
     },
     /// Leader to relays, when it changes and to those that have an older one.
-    View(ClusterView),
+    View(ViewUpdate),
     /// Relay to node, at once when services have other owners.
-    PushView(ClusterView),
+    PushView(ViewUpdate),
 }
