Apply a view's difference to its base only, and move the relay's part in the list to a module

A difference was applied to any view not older than its base; a later view of a leader that was cut off is no descendant of that base, and kept what that leader had changed. Change: the base must be the version held; else the receiver tells what it holds with its next heartbeat or reports. The list's part of the relay moves to relay_listing.rs (moves only).

--- a/crates/control/src/view_update.rs
+++ b/crates/control/src/view_update.rs
@@ -17,8 +17,9 @@
 /// What turns an older view into a newer one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ViewUpdate {
-    /// The oldest version that it can be applied to; none for a whole view, which can be
-    /// applied to any.
+    /// The only version that it can be applied to; none for a whole view, which can be
+    /// applied to any. A later version will not do: a leader that was cut off may have made
+    /// it from other reports.
     pub base: Option<ViewVersion>,
     /// The version that it leads to.
     pub version: ViewVersion,
@@ -32,13 +33,13 @@
     pub batch_owners: Option<BatchOwners>,
 }
 
-/// A difference can't be applied: the view held is older than its base.
+/// A difference can't be applied: the view held is not its base.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the view held, {held:?}, is older than the base {base:?}")]
+#[error("the view held, {held:?}, is not the base {base:?}")]
 pub struct ViewGap {
     /// Version held.
     pub held: ViewVersion,
-    /// Version needed at least.
+    /// Version needed.
     pub base: ViewVersion,
 }
 
@@ -59,12 +60,12 @@
     /// as new.
     ///
     /// # Errors
-    /// [`ViewGap`] where changes between `held` and the base are missing.
+    /// [`ViewGap`] where `held` is not the base.
     pub fn applied_to(&self, held: &ClusterView) -> Result<Option<ClusterView>, ViewGap> {
         if self.version <= held.version {
             return Ok(None);
         }
-        if let Some(base) = self.base.filter(|base| *base > held.version) {
+        if let Some(base) = self.base.filter(|base| *base != held.version) {
             return Err(ViewGap {
                 held: held.version,
                 base,
--- a/crates/daemon/src/session/mod.rs
+++ b/crates/daemon/src/session/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod node_state;
 pub mod relay;
+mod relay_listing;
 pub mod session_actor;
 
 pub use node_state::{NodeState, SharedNodeState, LISTING_LEASE};
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -5,7 +5,7 @@
 use crate::directory::SharedDirectory;
 use crate::outbox::SharedOutbox;
 use crate::replica::SharedStatus;
-use crate::session::LISTING_LEASE;
+use crate::session::relay_listing::HeldListing;
 use silversail_consensus::Millis;
 use silversail_control::batch_owners::MakersByZone;
 use silversail_control::{
@@ -13,15 +13,11 @@
     ViewUpdate, ViewVersion,
 };
 use silversail_model::{NodeName, Revision, TrafficVersion};
-use silversail_peer::{
-    ListedInstance, Listing, ListingVersion, PeerMessage, SessionHeartbeat, SessionMessage,
-    SessionReply, SharedListing,
-};
+use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply};
 use stakker::{after, CX};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Interval of reports to the leader and of views to the relays.
@@ -29,10 +25,6 @@
 /// A session without a heartbeat for so long gets no pushes, in milliseconds.
 const SESSION_SILENCE: Millis = 5_000;
 
-/// A leader sends an unchanged listing whole once in so many reads, for relays that
-/// missed it.
-const READS_PER_WHOLE_LISTING: u32 = 10;
-
 /// What a relay is made of.
 pub struct RelaySetup {
     /// Knows the other relays.
@@ -49,20 +41,6 @@
     pub clock: Clock,
 }
 
-/// The newest listing and when the same was last read.
-struct HeldListing {
-    listing: SharedListing,
-    confirmed_at: Millis,
-}
-
-impl HeldListing {
-    /// Whether it was read lately. One that is not gives way also to an older version:
-    /// the leader's does not count up with what another node read in its place.
-    fn is_current(&self, now: Millis) -> bool {
-        now.saturating_sub(self.confirmed_at) <= LISTING_LEASE
-    }
-}
-
 struct Session {
     revision: Option<Revision>,
     traffic: Option<TrafficVersion>,
@@ -73,19 +51,19 @@
 
 /// Serves sessions.
 pub struct RelayActor {
-    setup: RelaySetup,
+    pub(super) setup: RelaySetup,
     sessions: BTreeMap<NodeName, Session>,
     pending_reports: BTreeMap<NodeName, NodeReport>,
     view: ClusterView,
     views: ViewHistory,
-    table: Option<(u64, MembershipTable)>,
+    pub(super) table: Option<(u64, MembershipTable)>,
     sent_version: ViewVersion,
     traffic: TrafficUpdates,
-    listing: Option<HeldListing>,
+    pub(super) listing: Option<HeldListing>,
     /// Back ends of each service that are not leaving, by zone, as the listing tells.
-    makers: BTreeMap<String, MakersByZone>,
+    pub(super) makers: BTreeMap<String, MakersByZone>,
     /// Reads of the list since it was last sent whole.
-    unchanged_reads: u32,
+    pub(super) unchanged_reads: u32,
 }
 
 impl RelayActor {
@@ -107,7 +85,7 @@
         })
     }
 
-    fn now(&self, cx: CX![]) -> Millis {
+    pub(super) fn now(&self, cx: CX![]) -> Millis {
         self.setup.clock.millis(cx.now())
     }
 
@@ -306,7 +284,7 @@
         }
     }
 
-    fn tell_nodes(&self, message: SessionMessage, now: Millis) {
+    pub(super) fn tell_nodes(&self, message: SessionMessage, now: Millis) {
         let mut outbox = self.setup.outbox.borrow_mut();
         for (node, session) in &self.sessions {
             if now.saturating_sub(session.heard_at) <= SESSION_SILENCE {
@@ -315,46 +293,7 @@
         }
     }
 
-    /// This node read the list of back ends: that is news for all. The leader counts
-    /// versions in its term; another node that reads in its place gives a version that
-    /// comes after the leader's last and before its next.
-    pub fn list_read(&mut self, cx: CX![], entries: Vec<ListedInstance>) {
-        let now = self.now(cx);
-        let term = self.table.as_ref().map(|(term, _)| *term);
-        // The same entries keep their version, also under another leader: a list of 365
-        // entries has 60 KB, which each relay would send to 50 nodes.
-        let held = self.listing.as_mut();
-        let held = held.filter(|held| held.listing.entries == entries);
-        if let Some(held) = held {
-            held.confirmed_at = now;
-            self.unchanged_reads += 1;
-            let message = match self.unchanged_reads.is_multiple_of(READS_PER_WHOLE_LISTING) {
-                true => SessionMessage::Listing(held.listing.clone()),
-                false => SessionMessage::ListingConfirmed(held.listing.version),
-            };
-            self.tell_relays(message);
-            return;
-        }
-        let former = self.listing.as_ref().map(|held| held.listing.version);
-        let former = former.unwrap_or_default();
-        let version = match term {
-            Some(term) => ListingVersion {
-                term,
-                sequence: former.sequence + 1,
-                substitute: 0,
-            },
-            None => {
-                let incarnation = self.setup.outbox.borrow().incarnation();
-                ListingVersion::substitute_of(former, incarnation)
-            }
-        };
-        let listing = Arc::new(Listing { version, entries });
-        self.unchanged_reads = 0;
-        self.tell_relays(SessionMessage::Listing(listing.clone()));
-        self.take_listing(listing, now);
-    }
-
-    fn tell_relays(&self, message: SessionMessage) {
+    pub(super) fn tell_relays(&self, message: SessionMessage) {
         let mut outbox = self.setup.outbox.borrow_mut();
         let own = outbox.node().clone();
         let relays = self.setup.directory.borrow().replicating();
@@ -363,42 +302,6 @@
         }
     }
 
-    /// The leader's listing.
-    pub fn listing(&mut self, cx: CX![], listing: SharedListing) {
-        let now = self.now(cx);
-        self.take_listing(listing, now);
-    }
-
-    /// Takes a listing that is not older, and tells it to the nodes if it is newer.
-    fn take_listing(&mut self, listing: SharedListing, now: Millis) {
-        let known = self.listing.as_ref();
-        let is_current = known.is_some_and(|held| held.is_current(now));
-        let known = known.map(|held| held.listing.version);
-        if is_current && known > Some(listing.version) {
-            return;
-        }
-        let is_new = known != Some(listing.version);
-        self.listing = Some(HeldListing {
-            listing: listing.clone(),
-            confirmed_at: now,
-        });
-        if !is_new {
-            return;
-        }
-        self.makers = makers_by_zone(&listing.entries);
-        self.tell_nodes(SessionMessage::Listing(listing), now);
-    }
-
-    /// The leader read the list again and found it unchanged.
-    pub fn listing_confirmed(&mut self, cx: CX![], version: ListingVersion) {
-        let now = self.now(cx);
-        if let Some(held) = &mut self.listing {
-            if held.listing.version == version {
-                held.confirmed_at = now;
-            }
-        }
-    }
-
     fn follow_traffic(&mut self) {
         let control = self.setup.machine.borrow();
         self.traffic.follow(control.published.as_ref());
@@ -436,16 +339,6 @@
     }
 }
 
-/// Counts the back ends that are not leaving, by service and zone.
-fn makers_by_zone(entries: &[ListedInstance]) -> BTreeMap<String, MakersByZone> {
-    let mut makers: BTreeMap<String, MakersByZone> = BTreeMap::new();
-    for entry in entries.iter().filter(|entry| !entry.draining) {
-        let of_service = makers.entry(entry.service.clone()).or_default();
-        *of_service.entry(entry.zone.clone()).or_default() += 1;
-    }
-    makers
-}
-
 /// Names of the services that are batched, by the newest traffic configuration.
 fn batched_services(control: &ControlState) -> Vec<String> {
     let Some(published) = &control.published else {
