A leader of another term gives the listing a version of its own again

A relay that read in the leader's place holds other entries; a leader that finds the entries of its own former version only confirms that, which does not replace them. Change: taken back; the test is as it was. Conclusion: the saving of 60 KB a node and election is given up.

--- a/crates/daemon/src/session/relay_listing.rs
+++ b/crates/daemon/src/session/relay_listing.rs
@@ -34,10 +34,12 @@
     pub fn list_read(&mut self, cx: CX![], entries: Vec<ListedInstance>) {
         let now = self.now(cx);
         let term = self.table.as_ref().map(|(term, _)| *term);
-        // The same entries keep their version, also under another leader: a list of 365
-        // entries has 60 KB, which each relay would send to 50 nodes.
-        let held = self.listing.as_mut();
-        let held = held.filter(|held| held.listing.entries == entries);
+        // A leader of another term tells its list whole: a relay that read in its place
+        // holds other entries, which a confirmation would not replace.
+        let held = self.listing.as_mut().filter(|held| {
+            let is_of_term = term.is_none_or(|term| held.listing.version.term == term);
+            held.listing.entries == entries && is_of_term
+        });
         if let Some(held) = held {
             held.confirmed_at = now;
             self.unchanged_reads += 1;
