--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod configuration;
 pub mod emulate;
+pub mod evacuate;
 pub mod explain;
 pub mod hollow;
 pub mod load;
@@ -36,6 +37,8 @@
     CheckHistory(check::CheckHistory),
     /// See [`emulate::Emulate`].
     Emulate(emulate::Emulate),
+    /// See [`evacuate::Evacuate`].
+    Evacuate(evacuate::Evacuate),
     /// See [`explain::Explain`].
     Explain(explain::Explain),
     /// See [`hollow::Hollow`].
@@ -63,6 +66,7 @@
             Command::Check(command) => command.run(),
             Command::CheckHistory(command) => command.run(),
             Command::Emulate(command) => command.run(),
+            Command::Evacuate(command) => command.run(),
             Command::Explain(command) => command.run(),
             Command::Hollow(command) => command.run(),
             Command::Load(command) => command.run(),
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -47,7 +47,15 @@
 
 fn table_of(states: &[Value]) -> Table {
     let mut table = Table::new(&[
-        "node", "serving", "revision", "age_ms", "open", "queued", "leads", "usable",
+        "node",
+        "serving",
+        "revision",
+        "age_ms",
+        "open",
+        "queued",
+        "leads",
+        "usable",
+        "evacuated",
     ]);
     for state in states {
         let groups = state["groups"].as_object().into_iter().flatten();
@@ -56,6 +64,8 @@
             .map(|(name, _)| name.as_str())
             .collect();
         let usable = state["usable_nodes"].as_array().map_or(0, Vec::len);
+        let zones = state["evacuated_zones"].as_array().into_iter().flatten();
+        let evacuated: Vec<&str> = zones.filter_map(Value::as_str).collect();
         let text = |field: &str| match &state[field] {
             Value::Null => "-".to_owned(),
             Value::String(text) => text.clone(),
@@ -70,6 +80,7 @@
             text("queued_stages"),
             leads.join(","),
             usable.to_string(),
+            evacuated.join(","),
         ]);
     }
     table
--- a/crates/cli/src/operator_client.rs
+++ b/crates/cli/src/operator_client.rs
@@ -40,6 +40,22 @@
         })
     }
 
+    /// Sends a `POST` without a body to the first server that answers.
+    pub fn post_empty(&self, path: &str) -> Result<Value, CliError> {
+        self.first_answer(|server| {
+            let url = format!("http://{server}{path}");
+            read(ureq::post(&url).timeout(TIMEOUT).call(), server)
+        })
+    }
+
+    /// Sends a `DELETE` to the first server that answers.
+    pub fn delete(&self, path: &str) -> Result<Value, CliError> {
+        self.first_answer(|server| {
+            let url = format!("http://{server}{path}");
+            read(ureq::delete(&url).timeout(TIMEOUT).call(), server)
+        })
+    }
+
     fn first_answer(
         &self,
         ask: impl Fn(&str) -> Result<Value, CliError>,
--- a/crates/control/src/control_state.rs
+++ b/crates/control/src/control_state.rs
@@ -2,6 +2,7 @@
 
 use crate::change::ChangeRequest;
 use crate::configuration_state::ConfigurationState;
+use crate::evacuation::{EvacuationOrder, SharedEvacuations};
 use crate::orders::{OrderBook, OrderCommand};
 use crate::published::{publish, PublishedTraffic, SharedTraffic};
 use serde::{Deserialize, Serialize};
@@ -18,6 +19,9 @@
     /// Publishes a traffic configuration; answered by a
     /// [`crate::published::PublishReply`].
     Publish(PublishedTraffic),
+    /// Begins or ends the evacuation of a zone; answered by a
+    /// [`crate::evacuation::EvacuationReply`].
+    Evacuate(EvacuationOrder),
 }
 
 impl ControlCommand {
@@ -27,7 +31,7 @@
     }
 }
 
-/// Configuration, orders and the published traffic configuration.
+/// Configuration, orders, the published traffic configuration and evacuated zones.
 #[derive(Debug, Default)]
 pub struct ControlState {
     /// The configuration.
@@ -36,6 +40,8 @@
     pub orders: OrderBook,
     /// The traffic configuration in force, once there is one.
     pub published: Option<SharedTraffic>,
+    /// The zones that get no new work.
+    pub evacuations: SharedEvacuations,
 }
 
 fn encode<T: Serialize>(value: &T) -> Vec<u8> {
@@ -50,23 +56,33 @@
             }
             Ok(ControlCommand::Order(command)) => encode(&self.orders.apply(command)),
             Ok(ControlCommand::Publish(next)) => encode(&publish(&mut self.published, next)),
+            Ok(ControlCommand::Evacuate(order)) => {
+                encode(&Arc::make_mut(&mut self.evacuations).apply(order))
+            }
             Err(_) => Vec::new(),
         }
     }
 
     fn snapshot(&self) -> Vec<u8> {
         let published = self.published.as_deref();
-        encode(&(self.configuration.snapshot(), &self.orders, published))
+        let configuration = self.configuration.snapshot();
+        encode(&(configuration, &self.orders, published, &self.evacuations))
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> bool {
-        type Stored = (Vec<u8>, OrderBook, Option<PublishedTraffic>);
-        let Ok((configuration, orders, published)) = postcard::from_bytes::<Stored>(snapshot)
-        else {
+        type Stored = (
+            Vec<u8>,
+            OrderBook,
+            Option<PublishedTraffic>,
+            SharedEvacuations,
+        );
+        let Ok(stored) = postcard::from_bytes::<Stored>(snapshot) else {
             return false;
         };
+        let (configuration, orders, published, evacuations) = stored;
         self.orders = orders;
         self.published = published.map(Arc::new);
+        self.evacuations = evacuations;
         self.configuration.restore(&configuration)
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,11 +1,12 @@
 //! The control group's state: configuration revisions with deduplicated
-//! changes and orders to engines (replicated), and the view of live nodes and leaving machines (held
+//! changes, orders to engines and evacuated zones (replicated), and the view of live nodes and leaving machines (held
 //! by the leader, rebuilt after an election).
 
 pub mod batch_owners;
 pub mod change;
 pub mod configuration_state;
 pub mod control_state;
+pub mod evacuation;
 pub mod membership_table;
 pub mod order_plan;
 pub mod orders;
@@ -20,6 +21,9 @@
 pub use change::{ChangeOutcome, ChangeRequest};
 pub use configuration_state::ConfigurationState;
 pub use control_state::{ControlCommand, ControlState};
+pub use evacuation::{
+    EvacuationOrder, EvacuationReply, EvacuationRevision, Evacuations, SharedEvacuations,
+};
 pub use membership_table::MembershipTable;
 pub use order_plan::{plan_orders, Holdings, PlannedOrder};
 pub use orders::{Order, OrderAction, OrderBook, OrderCommand, OrderId, OrderReply};
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -1,6 +1,7 @@
 //! The view of the cluster that flows from the leader to every node.
 
 use crate::batch_owners::BatchOwners;
+use crate::evacuation::EvacuationRevision;
 use serde::{Deserialize, Serialize};
 use silversail_model::{NodeName, Revision, TrafficVersion};
 
@@ -34,6 +35,8 @@
     pub revision: Option<Revision>,
     /// Version of the traffic configuration in force on it.
     pub traffic: Option<TrafficVersion>,
+    /// Revision of the evacuated zones in force on it.
+    pub evacuations: Option<EvacuationRevision>,
     /// Machines whose state the view lacks or has from an older list.
     pub machines: Vec<MachineState>,
 }
--- /dev/null
+++ b/crates/control/tests/evacuations.rs
@@ -0,0 +1,94 @@
+//! Evacuated zones as replicated state: idempotent orders, and copies that come late.
+
+use rstest::rstest;
+use silversail_consensus::StateMachine;
+use silversail_control::{ControlCommand, ControlState, EvacuationOrder, EvacuationReply};
+
+fn order(state: &mut ControlState, zone: &str, evacuated: bool, seen: u64) -> EvacuationReply {
+    let zone = zone.to_owned();
+    let order = EvacuationOrder {
+        zone,
+        evacuated,
+        seen,
+    };
+    let command = ControlCommand::Evacuate(order).encode();
+    postcard::from_bytes(&state.apply(1, &command)).expect("a reply")
+}
+
+fn zones(state: &ControlState) -> Vec<&str> {
+    let zones = state.evacuations.zones().iter();
+    zones.map(String::as_str).collect()
+}
+
+#[test]
+fn a_zone_is_evacuated_and_used_again() {
+    let mut state = ControlState::default();
+    let begun = order(&mut state, "a", true, 0);
+    assert_eq!(begun, EvacuationReply::InForce { revision: 1 });
+    assert_eq!(zones(&state), ["a"]);
+    let ended = order(&mut state, "a", false, 1);
+    assert_eq!(ended, EvacuationReply::InForce { revision: 2 });
+    assert!(zones(&state).is_empty());
+}
+
+/// What is in force already is acknowledged, whatever revision the order builds on.
+#[rstest]
+#[case::begin_again("a", true)]
+#[case::end_without_a_begin("b", false)]
+fn an_order_that_changes_nothing_is_acknowledged(#[case] zone: &str, #[case] evacuated: bool) {
+    let mut state = ControlState::default();
+    order(&mut state, "a", true, 0);
+    for seen in [0, 1] {
+        let reply = order(&mut state, zone, evacuated, seen);
+        assert_eq!(reply, EvacuationReply::InForce { revision: 1 });
+    }
+    assert_eq!(zones(&state), ["a"]);
+}
+
+/// The begin was sent to two nodes; the copy at the second one is committed only after the
+/// end was acknowledged.
+#[test]
+fn a_late_copy_of_a_begin_does_not_undo_the_end() {
+    let mut state = ControlState::default();
+    order(&mut state, "a", true, 0);
+    order(&mut state, "a", false, 1);
+    let late = order(&mut state, "a", true, 0);
+    assert_eq!(late, EvacuationReply::Outdated { revision: 2 });
+    assert!(zones(&state).is_empty());
+}
+
+/// Two operators at once: the one whose order comes second in the log is told the present
+/// revision, on which a caller that still waits is proposed again, so that it comes last.
+#[test]
+fn of_two_operators_the_later_in_the_log_wins() {
+    let mut state = ControlState::default();
+    order(&mut state, "a", true, 0);
+    let first = order(&mut state, "a", false, 1);
+    assert_eq!(first, EvacuationReply::InForce { revision: 2 });
+    let second = order(&mut state, "a", true, 1);
+    assert_eq!(second, EvacuationReply::Outdated { revision: 2 });
+    let again = order(&mut state, "a", true, 2);
+    assert_eq!(again, EvacuationReply::InForce { revision: 3 });
+    assert_eq!(zones(&state), ["a"]);
+}
+
+#[test]
+fn all_zones_may_be_evacuated() {
+    let mut state = ControlState::default();
+    for (seen, zone) in ["a", "b", "c"].into_iter().enumerate() {
+        order(&mut state, zone, true, seen as u64);
+    }
+    assert_eq!(zones(&state), ["a", "b", "c"]);
+}
+
+#[test]
+fn a_snapshot_keeps_the_evacuated_zones() {
+    let mut state = ControlState::default();
+    order(&mut state, "a", true, 0);
+    order(&mut state, "b", true, 1);
+    let mut restored = ControlState::default();
+    assert!(restored.restore(&state.snapshot()));
+    assert_eq!(restored.evacuations, state.evacuations);
+    let late = order(&mut restored, "a", false, 1);
+    assert_eq!(late, EvacuationReply::Outdated { revision: 2 });
+}
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -26,6 +26,7 @@
         serving: true,
         revision: Some(1),
         traffic: None,
+        evacuations: None,
         machines: Vec::new(),
     }
 }
--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -5,6 +5,7 @@
 use crate::clock::Clock;
 use crate::directory::SharedDirectory;
 use crate::discovery::DiscoveryActor;
+use crate::evacuation::{EvacuationActor, EvacuationSetup};
 use crate::gateway::{GatewayActor, GatewayCalls, GatewaySetup};
 use crate::metrics::Metrics;
 use crate::node::NodeError;
@@ -102,6 +103,8 @@
     pub voter: Option<VoterActors>,
     /// Proposes to the control group.
     pub control_proposer: ActorOwn<ProposerActor>,
+    /// Takes operators' orders on zones; none on a node without a gateway.
+    pub evacuation: Option<ActorOwn<EvacuationActor>>,
     /// Finds the other nodes.
     pub discovery: ActorOwn<DiscoveryActor>,
     /// Keeps the node in step.
@@ -138,6 +141,9 @@
             PeerMessage::Session(SessionMessage::PushTraffic(traffic)) => {
                 call!([self.session], push_traffic(traffic));
             }
+            PeerMessage::Session(SessionMessage::PushEvacuations(evacuations)) => {
+                call!([self.session], push_evacuations(evacuations));
+            }
             PeerMessage::Session(SessionMessage::PushView(view)) => {
                 call!([self.session], push_view(view))
             }
@@ -174,6 +180,7 @@
             SessionMessage::Reply(_)
             | SessionMessage::Push(_)
             | SessionMessage::PushTraffic(_)
+            | SessionMessage::PushEvacuations(_)
             | SessionMessage::PushView(_) => {}
         }
     }
@@ -275,7 +282,8 @@
             .collect();
         let requests = self.requests(&ledger_proposers);
         let relay = voter.as_ref().map(|voter| (*voter.relay).clone());
-        let gateway = self.gateway(&control_proposer, relay);
+        let evacuation = self.evacuation(&control_proposer);
+        let gateway = self.gateway(&control_proposer, evacuation.as_ref(), relay);
         let session = self.session(requests.as_ref(), gateway.as_ref());
         let orders = voter
             .as_ref()
@@ -288,6 +296,7 @@
             clock: self.context.clock,
             voter,
             control_proposer,
+            evacuation,
             session,
             requests,
             orders,
@@ -398,9 +407,28 @@
         Some(actor!(self.stakker, RequestActor::init(setup), ret_nop!()))
     }
 
+    fn evacuation(
+        &mut self,
+        proposer: &ActorOwn<ProposerActor>,
+    ) -> Option<ActorOwn<EvacuationActor>> {
+        let context = &self.context;
+        let setup = EvacuationSetup {
+            zones: context.settings.gateway.as_ref()?.zones.clone(),
+            state: context.state.clone(),
+            proposer: (**proposer).clone(),
+            log: context.log.clone(),
+        };
+        Some(actor!(
+            self.stakker,
+            EvacuationActor::init(setup),
+            ret_nop!()
+        ))
+    }
+
     fn gateway(
         &mut self,
         proposer: &ActorOwn<ProposerActor>,
+        evacuation: Option<&ActorOwn<EvacuationActor>>,
         relay: Option<Actor<RelayActor>>,
     ) -> Option<ActorOwn<GatewayActor>> {
         let control = self.status_of(GroupId::Control);
@@ -413,6 +441,7 @@
             directory: context.directory.clone(),
             outbox: context.outbox.clone(),
             proposer: (**proposer).clone(),
+            evacuation: (**evacuation?).clone(),
             relay,
             control,
             protocols: ports.protocols,
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::directory::SharedDirectory;
+use crate::evacuation::EvacuationActor;
 use crate::gateway::calls::GatewayCalls;
 use crate::gateway::early::{EarlyRequest, EarlyRequests};
 use crate::gateway::event::{Decision, GatewayEvent};
@@ -15,6 +16,7 @@
 use crate::session::{RelayActor, SharedNodeState};
 use crate::settings::GatewaySettings;
 use silversail_consensus::Millis;
+use silversail_control::EvacuationRevision;
 use silversail_decisions::DecisionLog;
 use silversail_model::{NodeName, ResultCode, Shard};
 use silversail_peer::{ListingVersion, WorkId};
@@ -52,6 +54,8 @@
     pub outbox: SharedOutbox,
     /// Proposes to the control group.
     pub proposer: Actor<ProposerActor>,
+    /// Takes operators' orders on zones.
+    pub evacuation: Actor<EvacuationActor>,
     /// Tells all nodes the list of back ends; none on a node that is no relay.
     pub relay: Option<Actor<RelayActor>>,
     /// Status of the control group's replica.
@@ -96,6 +100,8 @@
     pub(super) told_waits_at: Millis,
     pub(super) owner_watch: OwnerWatch,
     pub(super) traffic_version: Option<u64>,
+    /// Revision of the evacuated zones that the back ends are marked by.
+    pub(super) evacuations_revision: Option<EvacuationRevision>,
     pub(super) view_changes: u64,
     /// The usable nodes of the last view.
     pub(super) usable_nodes: BTreeSet<String>,
@@ -137,6 +143,7 @@
             told_waits_at: 0,
             owner_watch: OwnerWatch::default(),
             traffic_version: None,
+            evacuations_revision: None,
             view_changes: 0,
             usable_nodes: BTreeSet::new(),
             processes: BTreeMap::new(),
@@ -164,6 +171,8 @@
         self.carry_out(expired, now);
         let late = self.batcher.expire(now);
         self.orders_finished(late, now);
+        let unstaffed = self.batcher.end_unstaffed(&self.dispatcher.instances);
+        self.orders_finished(unstaffed, now);
         self.choose_list_reader(now);
         self.tell_inputs_read(now);
         self.tell_waits(now);
--- a/crates/daemon/src/gateway/answers.rs
+++ b/crates/daemon/src/gateway/answers.rs
@@ -1,11 +1,12 @@
 //! The actor's answers to the operator, the platform and callers who ask for
 //! addresses.
 
+use crate::evacuation::OrderCaller;
 use crate::gateway::actor::GatewayActor;
 use crate::gateway::event::{SurfaceReply, SurfaceRequest};
 use crate::replica::ProposalOutcome;
 use silversail_consensus::Millis;
-use silversail_control::{ControlCommand, PublishedTraffic};
+use silversail_control::{ControlCommand, EvacuationRevision, PublishedTraffic};
 use silversail_model::ResultCode;
 use stakker::{call, ret_some_to, CX};
 use std::time::Duration;
@@ -14,6 +15,25 @@
 /// Longest wait for a publication to be committed.
 const PUBLISH_TIMEOUT: Duration = Duration::from_millis(3_500);
 
+/// An operator at the surface of the platform.
+struct SurfaceCaller(oneshot::Sender<SurfaceReply>);
+
+impl OrderCaller for SurfaceCaller {
+    fn is_waiting(&self) -> bool {
+        !self.0.is_closed()
+    }
+
+    fn answer(self: Box<Self>, result: Result<EvacuationRevision, ResultCode>) {
+        let reply = match result {
+            Ok(revision) => SurfaceReply::ZoneOrdered(revision),
+            Err(code) if code.http_status() == 503 => SurfaceReply::Unavailable(code),
+            Err(code) => SurfaceReply::Refused(code),
+        };
+        // The operator may have left.
+        let _ = self.0.send(reply);
+    }
+}
+
 impl GatewayActor {
     pub(super) fn surface(
         &mut self,
@@ -27,6 +47,11 @@
                 self.publish(cx, *published, reply);
                 return;
             }
+            SurfaceRequest::Evacuate(order) => {
+                let caller = Box::new(SurfaceCaller(reply));
+                call!([self.setup.evacuation], order(order, caller));
+                return;
+            }
             SurfaceRequest::ReadTraffic => self.read_traffic(now),
             SurfaceRequest::Readiness => self.readiness(),
             SurfaceRequest::EntryPoints { zone } => self.entry_points(zone.as_deref()),
--- a/crates/daemon/src/gateway/batching.rs
+++ b/crates/daemon/src/gateway/batching.rs
@@ -268,6 +268,26 @@
         self.free_results();
     }
 
+    /// Gives an order that found no maker in its zone's shard to another shard. False where
+    /// none is left.
+    fn move_order(&mut self, owner: &NodeName, work: WorkId, now: Millis) -> bool {
+        if !self.works.is_owed_by(work, owner) || !self.dispatcher.knows_work(work) {
+            return false;
+        }
+        let Some(phase) = self.works.movable_phase(work, now) else {
+            return false;
+        };
+        let placed = self.place_work(work, &phase, now);
+        let Some(placed) = placed.filter(|(shard, _)| *shard != phase.shard) else {
+            return false;
+        };
+        let Some((owner, phase)) = self.works.moved(work, placed, now) else {
+            return false;
+        };
+        self.hand_over(work, &owner, phase, now);
+        true
+    }
+
     pub(super) fn work_done(
         &mut self,
         owner: &NodeName,
@@ -275,6 +295,9 @@
         result: Result<Vec<ResultHandle>, PieceFailure>,
         now: Millis,
     ) {
+        if result == Err(PieceFailure::NoBackend) && self.move_order(owner, work, now) {
+            return;
+        }
         let answered = self.works.answered(work, owner, result.is_ok());
         match &answered {
             Answered::FailedElsewhere => return,
--- a/crates/daemon/src/gateway/event.rs
+++ b/crates/daemon/src/gateway/event.rs
@@ -1,6 +1,7 @@
 //! What the gateway's tasks tell its actor, and what they are told.
 
-use silversail_control::{PublishReply, PublishedTraffic};
+use crate::evacuation::ZoneOrder;
+use silversail_control::{EvacuationRevision, PublishReply, PublishedTraffic};
 use silversail_model::ResultCode;
 use silversail_serving::batcher::{CallId, CallOutcome};
 use silversail_serving::dispatcher::{Refusal, RequestNumber, SendOutcome, SendPlan};
@@ -81,6 +82,8 @@
 pub enum SurfaceRequest {
     /// Publish a traffic configuration.
     Publish(Box<PublishedTraffic>),
+    /// Begin or end the evacuation of a zone.
+    Evacuate(ZoneOrder),
     /// Read the traffic configuration.
     ReadTraffic,
     /// Whether this process is ready.
@@ -97,6 +100,10 @@
 pub enum SurfaceReply {
     /// The publication is committed.
     Published(PublishReply),
+    /// The order on a zone is committed, as this revision.
+    ZoneOrdered(EvacuationRevision),
+    /// The question is refused.
+    Refused(ResultCode),
     /// The document in force.
     Traffic(Vec<u8>),
     /// Ready.
--- a/crates/daemon/src/gateway/following.rs
+++ b/crates/daemon/src/gateway/following.rs
@@ -100,6 +100,7 @@
     /// Configuration, view or machine states changed.
     pub fn node_state_changed(&mut self, cx: CX![]) {
         let now = self.now(cx);
+        self.follow_evacuations(now);
         self.follow_traffic(now);
         self.follow_view(now);
         self.follow_listing();
@@ -134,6 +135,26 @@
         self.refresh_owners(now);
     }
 
+    /// Back ends of evacuated zones get no new work; those of a zone that is used again may
+    /// be cold.
+    pub(super) fn follow_evacuations(&mut self, now: Millis) {
+        let evacuations = self.setup.state.borrow().evacuations.clone();
+        let Some(evacuations) = evacuations else {
+            return;
+        };
+        let revision = evacuations.revision();
+        if self.evacuations_revision.replace(revision) == Some(revision) {
+            return;
+        }
+        let instances = &mut self.dispatcher.instances;
+        instances.set_evacuated(evacuations.zones().clone(), now);
+        self.setup.log.record(LogEvent::EvacuationsInForce {
+            revision,
+            zones: evacuations.zones().iter().cloned().collect(),
+            backends: instances.evacuated_count(),
+        });
+    }
+
     pub(super) fn follow_listing(&mut self) {
         let listing = self.setup.state.borrow().listing.clone();
         let Some(listing) = listing.filter(|one| Some(one.version) != self.listing_version) else {
--- a/crates/daemon/src/gateway/placing.rs
+++ b/crates/daemon/src/gateway/placing.rs
@@ -5,6 +5,7 @@
 use silversail_consensus::Millis;
 use silversail_model::{NodeName, Shard};
 use silversail_peer::{PhaseWork, ResultHandle, ShardWaits, WorkId, WorkMessage};
+use silversail_serving::instances::Instance;
 use silversail_serving::waits::OrderToPlace;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,7 +27,7 @@
         let all: Vec<&Shard> = self.owners.keys().filter(is_of_service).collect();
         let has_makers = |shard: &&Shard| {
             let mut makers = self.dispatcher.instances.of_shard(shard);
-            makers.any(|maker| !maker.listed.draining)
+            makers.any(Instance::takes_work)
         };
         let staffed: Vec<&Shard> = all.iter().copied().filter(has_makers).collect();
         let choice = if staffed.is_empty() { &all } else { &staffed };
--- a/crates/daemon/src/gateway/surface.rs
+++ b/crates/daemon/src/gateway/surface.rs
@@ -1,5 +1,6 @@
 //! The surfaces for the operator, for readiness and for entry points.
 
+use crate::evacuation::ZoneOrder;
 use crate::event::{Event, EventSender};
 use crate::gateway::event::{GatewayEvent, SurfaceReply, SurfaceRequest};
 use bytes::Bytes;
@@ -69,6 +70,12 @@
                 })),
                 Err(rejected) => return plain(BAD_REQUEST, &rejected.to_string()),
             },
+            Some(SurfaceCall::Evacuate { .. }) if !request.body.is_empty() => {
+                return refused(ResultCode::UnexpectedBody);
+            }
+            Some(SurfaceCall::Evacuate { zone, evacuated }) => {
+                SurfaceRequest::Evacuate(ZoneOrder { zone, evacuated })
+            }
             Some(SurfaceCall::ReadTraffic) => SurfaceRequest::ReadTraffic,
             Some(SurfaceCall::Readiness) => SurfaceRequest::Readiness,
             Some(SurfaceCall::EntryPoints { zone }) => SurfaceRequest::EntryPoints { zone },
@@ -91,6 +98,10 @@
             SurfaceReply::Published(published) => {
                 json(format!("{{\"in_force\":{}}}", published.in_force).into_bytes())
             }
+            SurfaceReply::ZoneOrdered(revision) => {
+                json(format!("{{\"revision\":{revision}}}").into_bytes())
+            }
+            SurfaceReply::Refused(code) => refused(code),
             SurfaceReply::Traffic(document) => json(document),
             SurfaceReply::Ready => plain(200, "ready"),
             SurfaceReply::EntryPoints(addresses) => {
@@ -107,6 +118,11 @@
     }
 }
 
+fn refused(code: ResultCode) -> Response<OutgoingBody> {
+    let text = format!("{} {}", code.number(), code.reason());
+    plain(code.http_status(), &text)
+}
+
 fn plain(status: u16, text: &str) -> Response<OutgoingBody> {
     Response::builder()
         .status(status)
--- a/crates/daemon/src/gateway/works.rs
+++ b/crates/daemon/src/gateway/works.rs
@@ -9,8 +9,14 @@
 /// answer may be lost.
 const RESUBMIT_AFTER: Millis = 1_500;
 
+/// How often an order goes to another shard because the makers of its own may get no work:
+/// nodes may differ for a moment in which zones are evacuated.
+const MAX_MOVES: u32 = 2;
+
 struct Submitted {
     owner: NodeName,
+    /// How often it went to another shard.
+    moves: u32,
     phase: PhaseWork,
     at: Millis,
     end: Millis,
@@ -43,6 +49,7 @@
     pub fn submitted(&mut self, work: WorkId, owner: NodeName, phase: PhaseWork, now: Millis) {
         let submitted = Submitted {
             owner,
+            moves: 0,
             end: now + phase.remaining_ms,
             phase,
             at: now,
@@ -74,6 +81,12 @@
         Some(self.submitted.remove(&work)?.owner)
     }
 
+    /// Whether `owner` has an order and owes its answer.
+    pub fn is_owed_by(&self, work: WorkId, owner: &NodeName) -> bool {
+        let submitted = self.submitted.get(&work);
+        submitted.is_some_and(|submitted| submitted.owner == *owner)
+    }
+
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.submitted.is_empty()
@@ -100,6 +113,25 @@
         Some(phase)
     }
 
+    /// The phase of an order of a zone's shard that may still go to another shard.
+    pub fn movable_phase(&self, work: WorkId, now: Millis) -> Option<PhaseWork> {
+        let submitted = self.submitted.get(&work)?;
+        let may_move = submitted.phase.shard.zone.is_some() && submitted.moves < MAX_MOVES;
+        may_move.then(|| self.phase_of(work, now))?
+    }
+
+    /// An order goes to another shard: see [`Works::renew`].
+    pub fn moved(
+        &mut self,
+        work: WorkId,
+        placed: (Shard, NodeName),
+        now: Millis,
+    ) -> Option<(NodeName, PhaseWork)> {
+        self.submitted.get_mut(&work)?.moves += 1;
+        let (_, owner, phase) = self.renew(work, Some(placed), now)?;
+        Some((owner, phase))
+    }
+
     /// Orders to be given again at `now`: those whose owner, by `is_live`, is gone,
     /// and those that were not answered for long.
     pub fn due(&mut self, now: Millis, is_live: impl Fn(&NodeName) -> bool) -> Vec<WorkId> {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod directory;
 pub mod discovery;
+pub mod evacuation;
 pub mod event;
 pub mod gateway;
 pub mod logging;
--- a/crates/daemon/src/node/operators.rs
+++ b/crates/daemon/src/node/operators.rs
@@ -1,10 +1,11 @@
 //! Answers to operators.
 
 use super::Node;
+use crate::evacuation::{OrderCaller, ZoneOrder};
 use crate::replica::{GroupStatus, ProposalOutcome};
 use crate::surface::operators::{GroupBody, OperatorReply, OperatorRequest, StatusBody};
 use serde_json::json;
-use silversail_control::{ChangeOutcome, ChangeRequest, ControlCommand};
+use silversail_control::{ChangeOutcome, ChangeRequest, ControlCommand, EvacuationRevision};
 use silversail_model::ResultCode;
 use stakker::{call, ret_some_do};
 use std::sync::mpsc::SyncSender;
@@ -13,6 +14,33 @@
 /// Longest wait for a change to be committed.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// An operator at the product's own surface. Whether it still waits is not known there:
+/// the surface's thread waits for it.
+struct OperatorCaller(SyncSender<OperatorReply>);
+
+impl OrderCaller for OperatorCaller {
+    fn is_waiting(&self) -> bool {
+        true
+    }
+
+    fn answer(self: Box<Self>, result: Result<EvacuationRevision, ResultCode>) {
+        let reply = match result {
+            Ok(revision) => OperatorReply::ok(&json!({ "revision": revision })),
+            Err(code) => OperatorReply::refuse(code, zone_problem(code), json!({})),
+        };
+        // The operator's thread may have stopped waiting.
+        let _ = self.0.try_send(reply);
+    }
+}
+
+fn zone_problem(code: ResultCode) -> &'static str {
+    match code {
+        ResultCode::InvalidName => "a zone's name takes 1 to 128 letters, digits, '-', '_' and '.'",
+        ResultCode::UnknownZone => "this node's settings name no such zone",
+        _ => "no leader answered; send the order again",
+    }
+}
+
 impl Node {
     pub(super) fn operator(&mut self, request: OperatorRequest, reply: SyncSender<OperatorReply>) {
         let answer = match request {
@@ -23,6 +51,10 @@
                 self.change(change, reply);
                 return;
             }
+            OperatorRequest::Evacuate(order) => {
+                self.evacuate(order, reply);
+                return;
+            }
         };
         // The operator's thread may have stopped waiting.
         let _ = reply.try_send(answer);
@@ -67,6 +99,14 @@
         );
     }
 
+    fn evacuate(&self, order: ZoneOrder, reply: SyncSender<OperatorReply>) {
+        let caller = Box::new(OperatorCaller(reply));
+        match &self.actors.evacuation {
+            Some(evacuation) => call!([evacuation], order(order, caller)),
+            None => caller.answer(Err(ResultCode::UnknownZone)),
+        }
+    }
+
     fn status(&self) -> StatusBody {
         let now = self.clock.millis(Instant::now());
         let state = self.state.borrow();
@@ -91,6 +131,12 @@
                 .usable_nodes()
                 .map(|one| one.node.0.clone())
                 .collect(),
+            evacuated_zones: state
+                .evacuations
+                .iter()
+                .flat_map(|held| held.zones().iter().cloned())
+                .collect(),
+            evacuations_revision: state.evacuations_revision(),
             leaving_machines: backends
                 .values()
                 .filter(|backend| state.is_leaving(&backend.address))
--- a/crates/daemon/src/session/node_state.rs
+++ b/crates/daemon/src/session/node_state.rs
@@ -5,7 +5,8 @@
 use silversail_control::batch_owners::BatchOwners;
 use silversail_control::view::merge_machine;
 use silversail_control::{
-    AppliedConfiguration, ClusterView, MachineState, SharedTraffic, ViewUpdate,
+    AppliedConfiguration, ClusterView, EvacuationRevision, MachineState, SharedEvacuations,
+    SharedTraffic, ViewUpdate,
 };
 use silversail_model::{NodeName, TrafficVersion};
 use silversail_peer::SharedListing;
@@ -29,6 +30,9 @@
     pub configuration: AppliedConfiguration,
     /// Traffic configuration in force; none before the first.
     pub traffic: Option<SharedTraffic>,
+    /// Zones that get no new work; none before the first confirmed answer of a relay. A
+    /// node that can't confirm them goes on with what it holds.
+    pub evacuations: Option<SharedEvacuations>,
     /// The list of back ends as one node read it for all; none before the first.
     pub listing: Option<SharedListing>,
     /// When that node is known to have read the same list, at the latest.
@@ -169,6 +173,22 @@
         self.traffic.as_ref().map(|traffic| traffic.version())
     }
 
+    /// Revision of the evacuated zones in force; none before the first.
+    pub fn evacuations_revision(&self) -> Option<EvacuationRevision> {
+        self.evacuations.as_ref().map(|held| held.revision())
+    }
+
+    /// Takes evacuated zones that are newer; true when they are.
+    pub fn take_evacuations(&mut self, told: SharedEvacuations) -> bool {
+        if self.evacuations_revision() >= Some(told.revision()) {
+            return false;
+        }
+        let zones: Vec<&str> = told.zones().iter().map(String::as_str).collect();
+        log::info!(event = "evacuations_in_force", revision = told.revision(), zones = zones.join(",").as_str(); "evacuated zones applied");
+        self.evacuations = Some(told);
+        true
+    }
+
     /// Whether the machine at `address` is leaving, by any list seen.
     pub fn is_leaving(&self, address: &str) -> bool {
         self.machines
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -9,8 +9,8 @@
 use silversail_consensus::Millis;
 use silversail_control::batch_owners::MakersByZone;
 use silversail_control::{
-    ClusterView, ControlState, MembershipTable, NodeReport, TrafficUpdates, ViewHistory,
-    ViewUpdate, ViewVersion,
+    ClusterView, ControlState, EvacuationRevision, MembershipTable, NodeReport, TrafficUpdates,
+    ViewHistory, ViewUpdate, ViewVersion,
 };
 use silversail_model::{NodeName, Revision, TrafficVersion};
 use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply};
@@ -44,6 +44,7 @@
 struct Session {
     revision: Option<Revision>,
     traffic: Option<TrafficVersion>,
+    evacuations: Option<EvacuationRevision>,
     heard_at: Millis,
     /// The view that it has, by its last heartbeat or what was sent to it since.
     view: ViewVersion,
@@ -174,6 +175,7 @@
         let session = Session {
             revision,
             traffic: heartbeat.report.traffic,
+            evacuations: heartbeat.report.evacuations,
             heard_at: now,
             view: heartbeat.view,
         };
@@ -188,6 +190,11 @@
         if let (Some(traffic), Some(session)) = (&reply.traffic, self.sessions.get_mut(&from)) {
             session.traffic = Some(traffic.version());
         }
+        if let (Some(evacuations), Some(session)) =
+            (&reply.evacuations, self.sessions.get_mut(&from))
+        {
+            session.evacuations = Some(evacuations.revision());
+        }
         self.pending_reports.insert(from.clone(), heartbeat.report);
         let message = PeerMessage::Session(SessionMessage::Reply(reply));
         self.setup.outbox.borrow_mut().send(&from, message);
@@ -205,6 +212,8 @@
             None => None,
         };
         let newer = age.and_then(|_| self.traffic.since(heartbeat.report.traffic));
+        let evacuations = &control.evacuations;
+        let lacks_evacuations = heartbeat.report.evacuations < Some(evacuations.revision());
         SessionReply {
             incarnation: heartbeat.report.incarnation,
             echo: heartbeat.sent_at,
@@ -213,6 +222,8 @@
             update,
             traffic_version: control.published.as_ref().map(|one| one.version()),
             traffic: newer,
+            evacuations_revision: evacuations.revision(),
+            evacuations: (age.is_some() && lacks_evacuations).then(|| evacuations.clone()),
             view: wants_view.then(|| Box::new(self.views.since(heartbeat.view, &self.view))),
             listing_age: self.listing.as_ref().map(|held| {
                 let age = now.saturating_sub(held.confirmed_at);
@@ -317,11 +328,17 @@
         let control = self.setup.machine.borrow();
         let machine = &control.configuration;
         let current = machine.revision();
+        let evacuations = &control.evacuations;
         let mut outbox = self.setup.outbox.borrow_mut();
         for (node, session) in &mut self.sessions {
             if now.saturating_sub(session.heard_at) > SESSION_SILENCE {
                 continue;
             }
+            if session.evacuations < Some(evacuations.revision()) {
+                session.evacuations = Some(evacuations.revision());
+                let message = SessionMessage::PushEvacuations(evacuations.clone());
+                outbox.send(node, PeerMessage::Session(message));
+            }
             if let Some(traffic) = self.traffic.since(session.traffic) {
                 session.traffic = Some(traffic.version());
                 let message = SessionMessage::PushTraffic(traffic);
--- a/crates/daemon/src/session/session_actor.rs
+++ b/crates/daemon/src/session/session_actor.rs
@@ -9,7 +9,7 @@
 use silversail_backend::MachineList;
 use silversail_consensus::Millis;
 use silversail_control::{
-    ConfigurationUpdate, MachineState, NodeReport, TrafficUpdate, ViewUpdate,
+    ConfigurationUpdate, MachineState, NodeReport, SharedEvacuations, TrafficUpdate, ViewUpdate,
 };
 use silversail_model::NodeName;
 use silversail_peer::{PeerMessage, SessionHeartbeat, SessionMessage, SessionReply, SharedListing};
@@ -147,6 +147,7 @@
                     serving: state.is_current(now, self.setup.freshness_lease),
                     revision: state.configuration.revision(),
                     traffic: state.traffic_version(),
+                    evacuations: state.evacuations_revision(),
                     machines: state.machines_unknown_to_view(),
                 },
                 view: state.told_view.version,
@@ -201,6 +202,12 @@
         if let Some(update) = reply.update {
             changed |= self.apply(update);
         }
+        // Before the configuration: a process that has just started must not send to a zone
+        // that is evacuated.
+        if let Some(evacuations) = reply.evacuations {
+            let mut state = self.setup.state.borrow_mut();
+            changed |= state.take_evacuations(evacuations);
+        }
         if let Some(traffic) = reply.traffic {
             changed |= self.apply_traffic(traffic);
         }
@@ -208,6 +215,7 @@
             let mut state = self.setup.state.borrow_mut();
             if state.configuration.revision() >= Some(reply.revision)
                 && state.traffic_version() >= reply.traffic_version
+                && state.evacuations_revision() >= Some(reply.evacuations_revision)
             {
                 state.freshness.advance(as_of);
             }
@@ -254,6 +262,18 @@
         }
     }
 
+    /// Evacuated zones that the relay pushed.
+    pub fn push_evacuations(&mut self, _: CX![], evacuations: SharedEvacuations) {
+        let changed = {
+            let mut state = self.setup.state.borrow_mut();
+            let has_started = state.configuration.revision().is_some();
+            has_started && state.take_evacuations(evacuations)
+        };
+        if changed {
+            fwd!([self.setup.on_change], ());
+        }
+    }
+
     /// A view that the relay pushed.
     pub fn push_view(&mut self, cx: CX![], update: ViewUpdate) {
         let now = self.setup.clock.millis(cx.now());
--- a/crates/daemon/src/settings/validation.rs
+++ b/crates/daemon/src/settings/validation.rs
@@ -79,6 +79,13 @@
         ] {
             check_address(path, address)?;
         }
+        for (position, zone) in gateway.zones.iter().enumerate() {
+            if !silversail_model::identifiers::is_valid_name(zone) {
+                let path = format!("gateway.zones[{position}]");
+                let message = "a name takes 1 to 128 letters, digits, '-', '_' and '.'";
+                return Err(SettingsError::new(ResultCode::InvalidName, path, message));
+            }
+        }
         gateway.policy.validate().map_err(|error| {
             let path = format!("gateway.policy.{}", error.field);
             SettingsError::new(ResultCode::ValueOutOfRange, path, error.problem)
--- a/crates/daemon/src/surface/operators.rs
+++ b/crates/daemon/src/surface/operators.rs
@@ -1,8 +1,10 @@
 //! The operators' and metrics surface, on `tiny_http`.
 //!
 //! `GET /v1/configuration`, `POST /v1/configuration/changes`, `GET
-//! /v1/configuration/history`, `GET /v1/status`, `GET /metrics`.
+//! /v1/configuration/history`, `POST` and `DELETE /v1/evacuations/{zone}`, `GET
+//! /v1/status`, `GET /metrics`.
 
+use crate::evacuation::ZoneOrder;
 use crate::event::{Event, EventSender};
 use crate::metrics::Metrics;
 use crate::replica::status::ReplicaReport;
@@ -45,6 +47,8 @@
     Configuration,
     /// A change.
     Change(ChangeRequest),
+    /// Begin or end the evacuation of a zone.
+    Evacuate(ZoneOrder),
     /// The latest accepted changes.
     History,
     /// State of this process.
@@ -108,6 +112,10 @@
     pub queued_stages: i64,
     /// Usable nodes by the view.
     pub usable_nodes: Vec<String>,
+    /// Zones whose back ends get no new work, by what this node has in force.
+    pub evacuated_zones: Vec<String>,
+    /// Revision of those zones; none before the first is confirmed.
+    pub evacuations_revision: Option<u64>,
     /// Addresses of machines that are leaving.
     pub leaving_machines: Vec<String>,
     /// Replicas of this process, by group.
@@ -205,7 +213,13 @@
     Header::from_bytes(name, value).expect("constant headers are valid")
 }
 
+/// Path under which zones are evacuated, before the zone.
+const EVACUATIONS_PATH: &str = "/v1/evacuations/";
+
 fn parse(path: &str, request: &mut Request) -> Result<OperatorRequest, OperatorReply> {
+    if let Some(zone) = path.strip_prefix(EVACUATIONS_PATH) {
+        return parse_evacuation(zone, request);
+    }
     match (request.method(), path) {
         (Method::Get, "/v1/configuration") => Ok(OperatorRequest::Configuration),
         (Method::Get, "/v1/configuration/history") => Ok(OperatorRequest::History),
@@ -222,6 +236,25 @@
     }
 }
 
+fn parse_evacuation(zone: &str, request: &mut Request) -> Result<OperatorRequest, OperatorReply> {
+    let evacuated = match request.method() {
+        Method::Post => true,
+        Method::Delete => false,
+        method => {
+            let message = format!("no {method} {EVACUATIONS_PATH}{zone}");
+            let refused = OperatorReply::refuse(ResultCode::UnknownPath, &message, json!({}));
+            return Err(refused);
+        }
+    };
+    if request.body_length().is_some_and(|length| length > 0) {
+        let message = "an order on a zone takes no body";
+        let refused = OperatorReply::refuse(ResultCode::UnexpectedBody, message, json!({}));
+        return Err(refused);
+    }
+    let zone = zone.to_owned();
+    Ok(OperatorRequest::Evacuate(ZoneOrder { zone, evacuated }))
+}
+
 fn parse_change(request: &mut Request) -> Result<OperatorRequest, OperatorReply> {
     let malformed =
         |message: String| OperatorReply::refuse(ResultCode::MalformedChange, &message, json!({}));
--- a/crates/daemon/tests/works.rs
+++ b/crates/daemon/tests/works.rs
@@ -68,3 +68,35 @@
     let renewed = works.renew(1, None, 1_000).expect("under way");
     assert_eq!((renewed.0, renewed.1), (node("n1"), node("n1")));
 }
+
+/// The makers of the order's zone may get no work any more: it goes to another zone's, a
+/// bounded number of times, as nodes may differ in which zones are evacuated.
+#[test]
+fn an_order_of_a_zone_without_makers_moves_a_few_times() {
+    let mut works = Works::default();
+    let shard = |zone: &str| Shard {
+        zone: Some(zone.to_owned()),
+        ..Shard::whole("s")
+    };
+    let phase = PhaseWork {
+        shard: shard("a"),
+        ..order()
+    };
+    works.submitted(1, node("n1"), phase, 0);
+    for zone in ["b", "c"] {
+        assert!(works.movable_phase(1, 100).is_some());
+        let moved = works.moved(1, (shard(zone), node("n2")), 100);
+        let (owner, phase) = moved.expect("under way");
+        assert_eq!((owner, phase.shard), (node("n2"), shard(zone)));
+    }
+    assert!(works.movable_phase(1, 100).is_none());
+    assert!(works.is_owed_by(1, &node("n2")));
+}
+
+/// A whole service's order has nowhere else to go.
+#[test]
+fn an_order_of_a_whole_service_does_not_move() {
+    let mut works = Works::default();
+    works.submitted(1, node("n1"), order(), 0);
+    assert!(works.movable_phase(1, 100).is_none());
+}
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -204,6 +204,26 @@
         /// The one before; 0 for none.
         before: u64,
     },
+    /// An operator ordered a zone to be evacuated, or to be used again.
+    EvacuationOrdered {
+        /// The zone.
+        zone: String,
+        /// Whether it is to be evacuated.
+        evacuated: bool,
+        /// Revision of the evacuated zones that this node held; 0 for none.
+        revision: u64,
+        /// `committed`, or why not.
+        outcome: String,
+    },
+    /// Other zones are evacuated on this node.
+    EvacuationsInForce {
+        /// Their revision.
+        revision: u64,
+        /// The evacuated zones.
+        zones: Vec<String>,
+        /// Back ends of those zones that the list names.
+        backends: usize,
+    },
     /// The view of live nodes changed.
     View {
         /// Its version, as `term.sequence`.
--- a/crates/model/src/codes.rs
+++ b/crates/model/src/codes.rs
@@ -186,6 +186,10 @@
     UnknownObject = 4006, "unknown_object", 404, NotRun;
     /// Only voters keep what is asked for.
     NotAVoter = 4007, "not_a_voter", 404, NotRun;
+    /// No such zone.
+    UnknownZone = 4008, "unknown_zone", 404, NotRun;
+    /// The call takes no body.
+    UnexpectedBody = 4009, "unexpected_body", 400, NotRun;
 
     /// The data folder can't be used.
     DataFolder = 5001, "data_folder", 500, Failed;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -5,12 +5,15 @@
 use crate::work::WorkMessage;
 use serde::{Deserialize, Serialize};
 use silversail_consensus::{JoinRequest, Message, Millis, ReplicaId, Snapshot};
-use silversail_control::{ConfigurationUpdate, NodeReport, TrafficUpdate, ViewUpdate, ViewVersion};
+use silversail_control::{
+    ConfigurationUpdate, EvacuationRevision, NodeReport, SharedEvacuations, TrafficUpdate,
+    ViewUpdate, ViewVersion,
+};
 use silversail_model::{NodeName, Revision, TrafficVersion};
 use std::fmt;
 
 /// Version of the message format; other versions are dropped.
-pub const PROTOCOL_VERSION: u8 = 5;
+pub const PROTOCOL_VERSION: u8 = 6;
 
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -161,6 +164,10 @@
     pub traffic_version: Option<TrafficVersion>,
     /// The relay's traffic configuration, where the node's is older.
     pub traffic: Option<TrafficUpdate>,
+    /// Revision of the relay's evacuated zones.
+    pub evacuations_revision: EvacuationRevision,
+    /// The relay's evacuated zones, where the node's are older.
+    pub evacuations: Option<SharedEvacuations>,
     /// What the node's view lacks.
     pub view: Option<Box<ViewUpdate>>,
     /// Version of the relay's listing, and how long ago the leader last read the
@@ -181,6 +188,8 @@
     Push(ConfigurationUpdate),
     /// Relay to node, at once when the traffic configuration changes.
     PushTraffic(TrafficUpdate),
+    /// Relay to node, at once when other zones are evacuated.
+    PushEvacuations(SharedEvacuations),
     /// Leader to relays, and relay to node, at once when the list of back ends
     /// changes.
     Listing(SharedListing),
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -12,7 +12,7 @@
 mod room;
 mod schedule;
 
-use crate::instances::InstanceTable;
+use crate::instances::{Instance, InstanceTable};
 use crate::policy::Policy;
 use crate::ports::PieceResults;
 use crate::Millis;
@@ -26,7 +26,7 @@
 use silversail_model::traffic::BatchSpec;
 use silversail_model::{NodeName, Shard};
 use silversail_peer::{PhaseWork, Piece, PieceFailure, ResultHandle, WorkId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Most calls that a piece takes part in.
 const MAX_CALLS_OF_PIECE: u32 = 3;
@@ -421,6 +421,27 @@
             .collect()
     }
 
+    /// Ends the waiting orders of shards whose makers may get no work any more, as they leave
+    /// or their zone is evacuated: whoever gave them can give them to another shard, or refuse
+    /// at once.
+    pub fn end_unstaffed(&mut self, table: &InstanceTable) -> Vec<FinishedOrder> {
+        let waiting = self.orders.iter().filter(|(_, order)| order.is_waiting());
+        let shards: BTreeSet<&Shard> = waiting.map(|(_, order)| &order.work.shard).collect();
+        let is_unstaffed = |shard: &&Shard| !table.of_shard(shard).any(Instance::takes_work);
+        let unstaffed: BTreeSet<Shard> = shards.into_iter().filter(is_unstaffed).cloned().collect();
+        if unstaffed.is_empty() {
+            return Vec::new();
+        }
+        let orders = self.orders.iter();
+        let ended =
+            orders.filter(|(_, order)| order.is_waiting() && unstaffed.contains(&order.work.shard));
+        let ended: Vec<OrderKey> = ended.map(|(key, _)| key.clone()).collect();
+        ended
+            .iter()
+            .filter_map(|key| self.fail(key, PieceFailure::NoBackend))
+            .collect()
+    }
+
     /// Orders whose back ends have read all inputs by now: their calls began at
     /// once, as no other waited there, and inputs are read first. The inputs can
     /// be freed; each order is told once. Orders at risk are not told: a piece that is
--- a/crates/serving/src/batcher/estimate.rs
+++ b/crates/serving/src/batcher/estimate.rs
@@ -3,7 +3,7 @@
 use super::makers::call_ms;
 use super::order::Order;
 use super::Batcher;
-use crate::instances::InstanceTable;
+use crate::instances::{Instance, InstanceTable};
 use crate::Millis;
 use silversail_model::traffic::BatchSpec;
 use silversail_model::Shard;
@@ -59,7 +59,7 @@
     ) -> Result<u64, PieceFailure> {
         let spec = self.specs.get(&shard.service);
         let spec = spec.ok_or(PieceFailure::NoBackend)?;
-        if table.of_shard(shard).all(|one| one.listed.draining) {
+        if !table.of_shard(shard).any(Instance::takes_work) {
             return Err(PieceFailure::NoBackend);
         }
         let rank = usize::from(rank).min(RANKS - 1);
--- a/crates/serving/src/batcher/makers.rs
+++ b/crates/serving/src/batcher/makers.rs
@@ -193,7 +193,7 @@
     pub(super) fn working(&self, shard: &Shard, table: &InstanceTable, now: Millis) -> usize {
         let usable = table.of_shard(shard).filter(|one| {
             let id = &one.listed.id;
-            !one.listed.draining && !self.has_failed(id) && !self.is_slow(id, now)
+            one.takes_work() && !self.has_failed(id) && !self.is_slow(id, now)
         });
         usable.count()
     }
--- a/crates/serving/src/instances.rs
+++ b/crates/serving/src/instances.rs
@@ -5,7 +5,7 @@
 use silversail_decisions::{DecisionLog, Event};
 use silversail_model::Shard;
 use silversail_peer::ResultHandle;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a back end that could not be reached, or broke off, is passed over
 /// after the first failure, in milliseconds; each further one doubles it.
@@ -25,6 +25,8 @@
 pub struct Instance {
     /// What the list says.
     pub listed: ListedInstance,
+    /// Whether its zone is evacuated.
+    is_evacuated: bool,
     /// Requests of this node under way there.
     pub in_flight: u32,
     /// Tokens of those requests.
@@ -42,6 +44,7 @@
     fn new(listed: ListedInstance) -> Self {
         Self {
             listed,
+            is_evacuated: false,
             in_flight: 0,
             tokens_in_flight: 0,
             load: None,
@@ -52,9 +55,14 @@
         }
     }
 
+    /// Whether it may get new work at all: it is not leaving, and its zone is not evacuated.
+    pub fn takes_work(&self) -> bool {
+        !self.listed.draining && !self.is_evacuated
+    }
+
     /// Whether it may be chosen at `now`.
     pub fn is_usable(&self, now: Millis) -> bool {
-        !self.listed.draining && now >= self.suspect_until && now >= self.full_until
+        self.takes_work() && now >= self.suspect_until && now >= self.full_until
     }
 
     /// Whether it failed lately and is passed over.
@@ -89,6 +97,7 @@
     instances: BTreeMap<InstanceId, Instance>,
     by_service: BTreeMap<String, Vec<InstanceId>>,
     by_address: BTreeMap<String, InstanceId>,
+    evacuated: BTreeSet<String>,
     log: DecisionLog,
 }
 
@@ -99,6 +108,7 @@
             instances: BTreeMap::new(),
             by_service: BTreeMap::new(),
             by_address: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
             log,
         }
     }
@@ -125,6 +135,9 @@
             };
             next.insert(instance.listed.id.clone(), instance);
         }
+        for instance in next.values_mut() {
+            instance.is_evacuated = self.evacuated.contains(&instance.listed.zone);
+        }
         let gone = std::mem::replace(&mut self.instances, next);
         for instance in gone.values() {
             changed = true;
@@ -136,6 +149,20 @@
         changed
     }
 
+    /// Takes which zones are evacuated from now on.
+    pub fn set_evacuated(&mut self, zones: BTreeSet<String>, _now: Millis) {
+        self.evacuated = zones;
+        for instance in self.instances.values_mut() {
+            instance.is_evacuated = self.evacuated.contains(&instance.listed.zone);
+        }
+    }
+
+    /// How many back ends get no work as their zone is evacuated.
+    pub fn evacuated_count(&self) -> usize {
+        let all = self.instances.values();
+        all.filter(|one| one.is_evacuated).count()
+    }
+
     fn note(&self, listed: &ListedInstance, state: &str) {
         self.record(listed, state, "list");
     }
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -172,6 +172,13 @@
     Publish,
     /// Read the traffic configuration.
     ReadTraffic,
+    /// Begin or end the evacuation of a zone.
+    Evacuate {
+        /// The zone.
+        zone: String,
+        /// Whether it is evacuated from now on.
+        evacuated: bool,
+    },
     /// Tell whether this process is ready.
     Readiness,
     /// Tell which addresses to use.
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -86,7 +86,7 @@
 ) -> Vec<&'a Instance> {
     let staying: Vec<&Instance> = table
         .of_service(request.service)
-        .filter(|one| !one.listed.draining)
+        .filter(|one| one.takes_work())
         .collect();
     let is_untried =
         |one: &&&Instance| one.is_suspect(now) && !request.tried.contains(&one.listed.id);
--- a/crates/serving/tests/batcher.rs
+++ b/crates/serving/tests/batcher.rs
@@ -562,3 +562,42 @@
     assert_eq!(calls.len(), 1);
     assert_eq!(calls[0].instance, "s1");
 }
+
+#[test]
+fn makers_of_an_evacuated_zone_get_no_calls() {
+    let (mut table, mut batcher) = (table(&[("s1", "a"), ("s2", "b")]), batcher());
+    table.set_evacuated(["a".to_owned()].into(), 0);
+    for request in 1..5 {
+        batcher
+            .submit(key(request), work(request, 8), &table, 0)
+            .expect("taken");
+    }
+    let calls = batcher.next_calls(&table, 0);
+    let makers: Vec<&str> = calls.iter().map(|call| call.instance.as_str()).collect();
+    assert_eq!(makers, ["s2"]);
+}
+
+/// Orders that wait when the last maker's zone is evacuated are answered at once; calls at
+/// work end and are delivered.
+#[test]
+fn orders_without_makers_end_at_once_and_calls_at_work_are_delivered() {
+    let (mut table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    for request in 1..3 {
+        batcher
+            .submit(key(request), work(request, 8), &table, 0)
+            .expect("taken");
+    }
+    let calls = batcher.next_calls(&table, 0);
+    assert_eq!(calls.len(), 1);
+    assert!(batcher.end_unstaffed(&table).is_empty());
+    table.set_evacuated(["a".to_owned()].into(), 10);
+    let ended = batcher.end_unstaffed(&table);
+    assert_eq!(ended.len(), 1);
+    assert_eq!(ended[0].key, key(2));
+    assert_eq!(ended[0].result, Err(PieceFailure::NoBackend));
+    let finished = batcher.call_ended(calls[0].call, made(&calls[0]), 300);
+    assert_eq!(finished.len(), 1);
+    assert!(finished[0].result.is_ok());
+    let refused = batcher.submit(key(3), work(3, 1), &table, 310);
+    assert_eq!(refused, Err(PieceFailure::NoBackend));
+}
--- a/crates/serving/tests/selection.rs
+++ b/crates/serving/tests/selection.rs
@@ -101,3 +101,35 @@
     // What ends at the former one changes nothing.
     table.ended("e1", 10);
 }
+
+/// Also as a last resort, and for requests that share a prompt with what ran there.
+#[test]
+fn a_back_end_of_an_evacuated_zone_gets_nothing() {
+    let mut table = table();
+    table.set_evacuated(["b".to_owned()].into(), 0);
+    for session in 0..20 {
+        let key = affinity_key(&[part(1), part(session)]);
+        let engine = select(&table, &request(key), 0).expect("an engine");
+        assert_eq!(engine.listed.id, "e1");
+    }
+    table.failed("e1", 0, "unreachable");
+    assert_eq!(
+        select(&table, &request(None), 0).expect("one").listed.id,
+        "e1"
+    );
+    table.set_evacuated(["a".to_owned(), "b".to_owned()].into(), 0);
+    assert!(select(&table, &request(None), 0).is_none());
+}
+
+/// A list that comes during the evacuation names new back ends there.
+#[test]
+fn a_new_back_end_of_an_evacuated_zone_gets_nothing() {
+    let mut table = table();
+    table.set_evacuated(["b".to_owned()].into(), 0);
+    let mut listed = instances();
+    listed.push(instance("e4", "pool", "b"));
+    table.replace(listed);
+    assert!(!table.get("e4").expect("listed").takes_work());
+    table.set_evacuated(BTreeSet::new(), 0);
+    assert!(table.get("e4").expect("listed").takes_work());
+}
