What a cold back end bears is kept over all nodes together

Cause: back ends that have just started, or come back with their zone, bear 10 requests a second on the shifted site and fall over above 1.5 times that and 5, whoever sends them. Nothing of it was read.

Nodes are ranked for each cold back end by a hash with its identity; the first seven of a rate of 10 may send to it, each at most once a second, so that no message is needed and two views in a cut stay below the bound. Back ends of a zone that is used again count as cold for 2.5 s, until a list says what they are. policy.cold_use: unlimited, limited (default), last_resort.

Left: makers of batches are not limited; a spell that begins while a back end is in use is known with the next list, 0.8 to 1.7 s later.

--- a/crates/daemon/src/gateway/following.rs
+++ b/crates/daemon/src/gateway/following.rs
@@ -130,6 +130,9 @@
             .filter_map(|service| Some((service.name.clone(), service.batch.clone()?)))
             .collect();
         self.batcher.set_specs(specs);
+        let services = traffic.traffic.services.iter();
+        let cold = services.filter_map(|one| Some((one.name.clone(), one.cold.clone()?)));
+        self.dispatcher.instances.set_cold_specs(cold.collect());
         let limits = traffic.traffic.limits.clone();
         self.setup.calls.set_limits(limits);
         self.refresh_owners(now);
@@ -175,7 +178,8 @@
             let names: BTreeSet<String> = nodes.map(|status| status.node.0.clone()).collect();
             (state.view.version, names)
         };
-        self.dispatcher.set_nodes(names.len());
+        self.dispatcher
+            .set_nodes(self.node.as_str(), names.iter().cloned().collect());
         self.setup.log.record(LogEvent::View {
             version: format!("{}.{}", version.term, version.sequence),
             usable: names.len(),
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -183,7 +183,7 @@
         backend: String,
         /// Its service.
         service: String,
-        /// `ready`, `draining`, `gone`, `suspect`, `full`, `slow` or `trusted`.
+        /// `ready`, `cold`, `draining`, `gone`, `suspect`, `full`, `slow` or `trusted`.
         state: String,
         /// What it was learnt from.
         source: String,
--- a/crates/model/src/traffic.rs
+++ b/crates/model/src/traffic.rs
@@ -116,6 +116,13 @@
     pub token_capacity: u64,
 }
 
+/// What a service's back ends bear while they are cold, each.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdSpec {
+    /// Requests a second from all nodes together; above 0.
+    pub requests_per_second: f64,
+}
+
 /// A service that back ends belong to.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSpec {
@@ -129,6 +136,8 @@
     pub engine: Option<EngineSpec>,
     /// Where its back ends take pieces in batches.
     pub batch: Option<BatchSpec>,
+    /// Where its back ends bear less while they are cold.
+    pub cold: Option<ColdSpec>,
 }
 
 /// A tenant and the hashes of its keys.
@@ -219,6 +228,9 @@
         /// The other.
         second: String,
     },
+    /// What a cold back end bears is no figure above 0.
+    #[error("what cold back ends of service '{0}' bear must be above 0")]
+    ColdFigures(String),
     /// A phase waits for one that does not come before it.
     #[error("phase {phase} of route '{route}' comes after a phase that does not precede it")]
     PhaseOrder {
@@ -237,6 +249,10 @@
             if !services.insert(service.name.as_str()) {
                 return Err(duplicate("service", &service.name));
             }
+            let rate = service.cold.as_ref().map(|cold| cold.requests_per_second);
+            if rate.is_some_and(|rate| !(rate.is_finite() && rate > 0.0)) {
+                return Err(TrafficError::ColdFigures(service.name.clone()));
+            }
         }
         let mut places: BTreeMap<(&str, &str), &str> = BTreeMap::new();
         for route in &self.routes {
--- a/crates/peer/src/listing.rs
+++ b/crates/peer/src/listing.rs
@@ -18,6 +18,9 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub draining: bool,
+    /// Whether it is cold: it bears few requests until a later list says that it is warm.
+    /// How long its spell lasts is not kept, as that differs in each read of the list.
+    pub cold: bool,
 }
 
 /// Orders listings: a later leader's is newer. What another node read while the leader's
--- a/crates/peer/tests/listing_updates.rs
+++ b/crates/peer/tests/listing_updates.rs
@@ -13,6 +13,7 @@
         zone: format!("zone-{}", number % 6),
         slots: 64,
         draining,
+        cold: false,
     }
 }
 
--- a/crates/serving/examples/batch_cost.rs
+++ b/crates/serving/examples/batch_cost.rs
@@ -62,6 +62,7 @@
             zone: "zone".into(),
             slots: 1,
             draining: false,
+            cold: false,
         });
         table.replace(&listed.collect::<Vec<_>>());
         let mut batcher = Batcher::new(Policy::default(), DecisionLog::off());
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -84,9 +84,11 @@
         self.routes = Some(routes);
     }
 
-    /// Takes how many nodes share the retry allowance.
-    pub fn set_nodes(&mut self, nodes: usize) {
-        self.nodes = nodes.max(1);
+    /// Takes the nodes that share the retry allowance and what cold back ends bear, and which
+    /// of them this is.
+    pub fn set_nodes(&mut self, own: &str, nodes: Vec<String>) {
+        self.nodes = nodes.len().max(1);
+        self.instances.set_senders(own, nodes);
     }
 
     /// Takes how long shards of batched services take now.
@@ -372,7 +374,7 @@
             began_at: now,
         });
         let tokens = request.tokens();
-        self.instances.sent(&plan.instance, tokens);
+        self.instances.sent(&plan.instance, tokens, now);
         vec![Action::Send { number, plan }]
     }
 
--- a/crates/serving/src/dispatcher/request.rs
+++ b/crates/serving/src/dispatcher/request.rs
@@ -209,6 +209,7 @@
             zone,
             affinity,
             tried: &self.tried,
+            cold_use: self.policy.cold_use,
         }
     }
 
--- a/crates/serving/src/instances.rs
+++ b/crates/serving/src/instances.rs
@@ -1,8 +1,10 @@
 //! The back ends and what this node believes of each.
 
+use crate::cold::ColdSenders;
 use crate::ports::{ListedInstance, ReportedLoad};
 use crate::Millis;
 use silversail_decisions::{DecisionLog, Event};
+use silversail_model::traffic::ColdSpec;
 use silversail_model::Shard;
 use silversail_peer::ResultHandle;
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,6 +19,11 @@
 /// How long a load report counts, in milliseconds.
 const REPORT_LIFETIME: Millis = 4_000;
 
+/// How long the back ends of a zone that was evacuated count as cold when it is used again, in
+/// milliseconds: the list that says whether they are is 0.8 s old, is read each 0.7 to 0.9 s
+/// and spreads within a heartbeat.
+const PRESUMED_COLD_FOR: Millis = 2_500;
+
 /// Identity of one start of a back end.
 pub type InstanceId = String;
 
@@ -27,6 +34,10 @@
     pub listed: ListedInstance,
     /// Whether its zone is evacuated.
     is_evacuated: bool,
+    /// Until when it counts as cold, whatever the list says.
+    presumed_cold_until: Millis,
+    /// When this node last sent to it while it was cold.
+    sent_cold_at: Option<Millis>,
     /// Requests of this node under way there.
     pub in_flight: u32,
     /// Tokens of those requests.
@@ -45,6 +56,8 @@
         Self {
             listed,
             is_evacuated: false,
+            presumed_cold_until: 0,
+            sent_cold_at: None,
             in_flight: 0,
             tokens_in_flight: 0,
             load: None,
@@ -65,6 +78,11 @@
         self.takes_work() && now >= self.suspect_until && now >= self.full_until
     }
 
+    /// Whether it bears few requests only, by what is known.
+    pub fn is_cold(&self, now: Millis) -> bool {
+        self.listed.cold || now < self.presumed_cold_until
+    }
+
     /// Whether it failed lately and is passed over.
     pub fn is_suspect(&self, now: Millis) -> bool {
         now < self.suspect_until
@@ -98,6 +116,7 @@
     by_service: BTreeMap<String, Vec<InstanceId>>,
     by_address: BTreeMap<String, InstanceId>,
     evacuated: BTreeSet<String>,
+    cold_senders: ColdSenders,
     log: DecisionLog,
 }
 
@@ -109,6 +128,7 @@
             by_service: BTreeMap::new(),
             by_address: BTreeMap::new(),
             evacuated: BTreeSet::new(),
+            cold_senders: ColdSenders::default(),
             log,
         }
     }
@@ -121,7 +141,9 @@
         for entry in listed {
             let mut instance = match self.instances.remove(&entry.id) {
                 Some(mut known) => {
-                    if known.listed.draining != entry.draining {
+                    let is_other =
+                        (known.listed.draining, known.listed.cold) != (entry.draining, entry.cold);
+                    if is_other {
                         changed = true;
                         self.note(entry);
                     }
@@ -152,13 +174,41 @@
     }
 
     /// Takes which zones are evacuated from now on.
-    pub fn set_evacuated(&mut self, zones: BTreeSet<String>, _now: Millis) {
+    pub fn set_evacuated(&mut self, zones: BTreeSet<String>, now: Millis) {
         self.evacuated = zones;
         for instance in self.instances.values_mut() {
-            instance.is_evacuated = self.evacuated.contains(&instance.listed.zone);
+            let is_evacuated = self.evacuated.contains(&instance.listed.zone);
+            if instance.is_evacuated && !is_evacuated {
+                instance.presumed_cold_until = now + PRESUMED_COLD_FOR;
+            }
+            instance.is_evacuated = is_evacuated;
         }
     }
 
+    /// Takes what the back ends of each service bear while they are cold.
+    pub fn set_cold_specs(&mut self, specs: BTreeMap<String, ColdSpec>) {
+        self.cold_senders.set_specs(specs);
+    }
+
+    /// Takes the nodes that send requests, and which of them this is.
+    pub fn set_senders(&mut self, own: &str, nodes: Vec<String>) {
+        self.cold_senders.set_nodes(own, nodes);
+    }
+
+    /// Whether a back end is cold and its service has limits for that.
+    pub fn is_limited(&self, instance: &Instance, now: Millis) -> bool {
+        instance.is_cold(now) && self.cold_senders.applies_to(&instance.listed.service)
+    }
+
+    /// Whether this node may send to a back end by what it bears: to a cold one within this
+    /// node's part of it.
+    pub fn bears_another(&self, instance: &Instance, now: Millis) -> bool {
+        let listed = &instance.listed;
+        let sent_at = instance.sent_cold_at;
+        let senders = &self.cold_senders;
+        !instance.is_cold(now) || senders.may_send(&listed.service, &listed.id, sent_at, now)
+    }
+
     /// How many back ends get no work as their zone is evacuated.
     pub fn evacuated_count(&self) -> usize {
         let all = self.instances.values();
@@ -166,7 +216,11 @@
     }
 
     fn note(&self, listed: &ListedInstance) {
-        let state = if listed.draining { "draining" } else { "ready" };
+        let state = match (listed.draining, listed.cold) {
+            (true, _) => "draining",
+            (false, true) => "cold",
+            (false, false) => "ready",
+        };
         self.record(listed, state, "list");
     }
 
@@ -224,8 +278,11 @@
     }
 
     /// A request of `tokens` tokens leaves for a back end.
-    pub fn sent(&mut self, id: &str, tokens: u64) {
+    pub fn sent(&mut self, id: &str, tokens: u64, now: Millis) {
         if let Some(instance) = self.instances.get_mut(id) {
+            if instance.is_cold(now) {
+                instance.sent_cold_at = Some(now);
+            }
             instance.in_flight += 1;
             instance.tokens_in_flight += tokens;
             instance.sent_since_report += 1;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`ports`]: what the outside protocols are translated to and from
 //! - [`routes`]: which route a request takes, and whose it is
 //! - [`instances`]: the back ends and what is believed of them
+//! - [`cold`]: what back ends get that have just started
 //! - [`selection`]: which back end gets a request
 //! - [`retry_budget`]: how often requests may be sent again
 //! - [`batcher`]: which pieces share a call
 //! - [`dispatcher`]: one request from its arrival to its answer
 
 pub mod batcher;
+pub mod cold;
 pub mod dispatcher;
 pub mod instances;
 pub mod policy;
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -1,6 +1,7 @@
 //! The mechanisms of deciding, each with a switch, so that what each is worth can be
 //! measured. All are on by default.
 
+use crate::cold::ColdUse;
 use serde::Deserialize;
 use silversail_peer::RANKS;
 
@@ -44,6 +45,8 @@
     pub pass_over_failing: bool,
     /// Inputs of a phase are freed once its calls have begun.
     pub early_freeing: bool,
+    /// How cold back ends are used.
+    pub cold_use: ColdUse,
     /// Share of the objective within which a chain must be expected to end, by rank: waits
     /// are told late, and bursts come between. What is less urgent is refused first.
     pub admitted_shares: [f64; RANKS],
@@ -71,6 +74,7 @@
             pass_over_slow: true,
             pass_over_failing: true,
             early_freeing: true,
+            cold_use: ColdUse::Limited,
             admitted_shares: [1.0, 0.9, 0.7, 0.6],
             return_after_ms: 300,
             return_latest_ms: 3_000,
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -4,6 +4,7 @@
 //! it is not much busier than the others: every node ranks the engines of a
 //! service by the same hash of that beginning, so no node needs to ask another.
 
+use crate::cold::ColdUse;
 use crate::instances::{Instance, InstanceTable};
 use crate::ports::PrefixPart;
 use crate::Millis;
@@ -29,6 +30,8 @@
     pub affinity: Option<u64>,
     /// Back ends that were tried before.
     pub tried: &'a [String],
+    /// How cold back ends are used.
+    pub cold_use: ColdUse,
 }
 
 /// Hash of the shared beginning of a prompt: of all its parts but the last, which
@@ -56,8 +59,10 @@
         .of_service(request.service)
         .filter(|one| one.is_usable(now) && !request.tried.contains(&one.listed.id))
         .collect();
+    let usable = bearing(table, usable, request.cold_use, now);
     let usable = if usable.is_empty() {
-        last_resort(table, request, now)
+        let last = last_resort(table, request, now);
+        bearing(table, last, request.cold_use, now)
     } else {
         usable
     };
@@ -78,6 +83,25 @@
     ranked.iter().copied().find(keeps).or(Some(least))
 }
 
+/// Those of the back ends that bear another request of this node.
+fn bearing<'a>(
+    table: &InstanceTable,
+    mut instances: Vec<&'a Instance>,
+    cold_use: ColdUse,
+    now: Millis,
+) -> Vec<&'a Instance> {
+    let is_warm = |one: &&Instance| !table.is_limited(one, now);
+    let has_warm = instances.iter().any(is_warm);
+    match cold_use {
+        ColdUse::Unlimited => {}
+        ColdUse::LastResort if has_warm => instances.retain(is_warm),
+        ColdUse::Limited | ColdUse::LastResort => {
+            instances.retain(|one| table.bears_another(one, now));
+        }
+    }
+    instances
+}
+
 /// Where every back end failed or was tried: any that is not leaving or full.
 fn last_resort<'a>(
     table: &'a InstanceTable,
--- a/crates/serving/tests/burst.rs
+++ b/crates/serving/tests/burst.rs
@@ -48,6 +48,7 @@
                 health_path: "/health".into(),
                 max_connections: 100,
                 engine: None,
+                cold: None,
                 batch: Some(batch_spec()),
             });
         }
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -67,6 +67,7 @@
         max_connections: 100,
         engine,
         batch,
+        cold: None,
     }
 }
 
@@ -138,6 +139,7 @@
         zone: zone.into(),
         slots: if service == "pool" { 64 } else { 4 },
         draining: false,
+        cold: false,
     }
 }
 
--- a/crates/serving/tests/dispatcher.rs
+++ b/crates/serving/tests/dispatcher.rs
@@ -146,7 +146,8 @@
 #[test]
 fn second_sends_stay_within_the_budget() {
     let mut dispatcher = dispatcher();
-    dispatcher.set_nodes(10);
+    let nodes = (0..10).map(|node| format!("n{node}"));
+    dispatcher.set_nodes("n0", nodes.collect());
     let mut repeats = 0;
     for number in 0..200 {
         dispatcher.arrive(number, call_of(&format!("r{number}"), "/lookup/x"), 0);
--- a/crates/serving/tests/selection.rs
+++ b/crates/serving/tests/selection.rs
@@ -4,6 +4,7 @@
 
 use common::{instance, instances};
 use silversail_decisions::DecisionLog;
+use silversail_serving::cold::ColdUse;
 use silversail_serving::instances::InstanceTable;
 use silversail_serving::ports::{PrefixPart, ReportedLoad};
 use silversail_serving::selection::{affinity_key, select, SelectionRequest};
@@ -21,6 +22,7 @@
         zone: "a",
         affinity,
         tried: &[],
+        cold_use: ColdUse::Limited,
     }
 }
 
@@ -91,7 +93,7 @@
 #[test]
 fn a_new_start_at_an_old_address_is_another_back_end() {
     let mut table = table();
-    table.sent("e1", 10);
+    table.sent("e1", 10, 0);
     let mut listed = instances();
     listed[0] = instance("e1-again", "gate", "a");
     listed[0].address = "e1:80".into();
--- a/crates/simulation/tests/listing.rs
+++ b/crates/simulation/tests/listing.rs
@@ -22,6 +22,7 @@
         zone: "z".into(),
         slots: 4,
         draining,
+        cold: false,
     }
 }
 
