Connections that fall silent without a reset are noticed on each kind of link

Cause: open connections may go silent for good while new ones work. To engines only unacknowledged bytes ended a connection, after 1.5 s, and each idle connection to the same engine cost another request that time; callers' connections had no limit at all.

A connection that breaks or gives no answer in time takes the idle ones to its address along.

Links between nodes are dialled anew after 1.8 s of silence, as before.

--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -135,9 +135,11 @@
         call: BackendCall,
         longest: Duration,
     ) -> Result<CallAnswer, CallError> {
-        timeout(longest, self.exchange(address, call))
-            .await
-            .unwrap_or_else(|_| Err(CallError::NoAnswer("time over".into())))
+        let exchanged = timeout(longest, self.exchange(address, call)).await;
+        exchanged.unwrap_or_else(|_| {
+            self.pool.discard_idle(address);
+            Err(CallError::NoAnswer("time over".into()))
+        })
     }
 
     async fn exchange(&self, address: &str, call: BackendCall) -> Result<CallAnswer, CallError> {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,7 @@
 //! Connections to back ends: kept while idle, never shared by two requests at
 //! once, and closed whenever what they carry next is in doubt.
 
+use crate::liveness;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -8,7 +9,6 @@
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::collections::HashMap;
 use std::io;
 use std::sync::{Arc, Mutex};
@@ -73,7 +73,10 @@
                 let was_sent = failure.take_message().is_none();
                 let text = failure.error().to_string();
                 match was_sent {
-                    true => SendError::Broken(text),
+                    true => {
+                        self.pool.discard_idle(&self.address);
+                        SendError::Broken(text)
+                    }
                     false => SendError::NotSent(text),
                 }
             })
@@ -129,6 +132,18 @@
     idle: Mutex<HashMap<String, Vec<Connection>>>,
 }
 
+impl Shared {
+    /// Closes the idle connections to an address: what broke one off, or made it silent,
+    /// likely did the same to them, and each would hold a request for 1.5 s to show it.
+    fn discard_idle(&self, address: &str) {
+        let discarded = match self.idle.lock() {
+            Ok(mut idle) => idle.remove(address),
+            Err(_) => None,
+        };
+        drop(discarded);
+    }
+}
+
 /// Idle connections by address.
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
@@ -153,13 +168,18 @@
         None
     }
 
+    /// Closes the idle connections to `address`, as one of them gave no answer.
+    pub fn discard_idle(&self, address: &str) {
+        self.shared.discard_idle(address);
+    }
+
     /// A new connection to `address`.
     pub async fn connect(&self, address: &str, longest: Duration) -> io::Result<Connection> {
         let stream = timeout(longest, TcpStream::connect(address))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+        liveness::watch(&stream, UNACKNOWLEDGED)?;
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod body;
 pub mod client;
 pub mod config;
+pub mod liveness;
 pub mod relay;
 pub mod request;
 pub mod responder;
--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -1,6 +1,7 @@
 //! Serving requests with an asynchronous service, whose answers may be relayed
 //! from elsewhere as they come.
 
+use crate::liveness;
 use crate::relay::RelayBody;
 use crate::server::RejectReason;
 use bytes::Bytes;
@@ -22,6 +23,9 @@
 
 /// Openings of connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
+/// A caller that acknowledges nothing for so long is gone: its requests' engines are freed.
+/// Longer than a caller that reads slowly may pause, as bytes that it has no room for count.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(10);
 /// The server library's least buffer for heads, in bytes.
 const LEAST_HEAD_BUFFER: usize = 8_192;
 
@@ -111,6 +115,9 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
+    if let Err(error) = liveness::watch(&stream, UNACKNOWLEDGED) {
+        log::debug!(event = "caller_socket"; "{error}");
+    }
     let limits = service.limits();
     let respond = service_fn(move |request| respond(request, service.clone()));
     let connection = http1::Builder::new()
