Room of makers counts as free once they said so, and calls fill all of it

Hypothesis: with the room's true state all of it can be filled, and calls hold more.

Change: a released result keeps its room until its maker answered; policy.room_share (1.0) and policy.inputs_read_after_ms (100, as before) are figures of the policy. Tests of room keep their figure of 0.85 by setting it, and now ask also that a release alone gives no room, which failed before.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -218,6 +218,7 @@
                 let finished = self.batcher.call_ended(call, outcome, now);
                 self.orders_finished(finished, now);
             }
+            GatewayEvent::ResultsFreed { handles } => self.batcher.freed(&handles),
             GatewayEvent::Listed(read) => self.list_read(cx, read, now),
             GatewayEvent::ListFailed(why) => self.list_failed(&why),
             GatewayEvent::Surface { request, reply } => self.surface(cx, request, reply, now),
--- a/crates/daemon/src/gateway/batching.rs
+++ b/crates/daemon/src/gateway/batching.rs
@@ -388,7 +388,7 @@
                 continue;
             }
             let request = self.setup.protocols.batches.free_call(&handles);
-            self.setup.calls.free(address, request);
+            self.setup.calls.free(address, handles, request);
         }
     }
 }
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use silversail_http::ConnectionPool;
 use silversail_model::traffic::CallerLimits;
+use silversail_peer::ResultHandle;
 use silversail_serving::batcher::{BatchCall, CallOutcome};
 use silversail_serving::ports::{BackendCall, Protocols};
 use std::sync::Arc;
@@ -28,8 +29,8 @@
     /// Makes a batch call.
     fn run_batch(&self, batch: BatchCall, request: BackendCall);
 
-    /// Frees results at the back end at `address`.
-    fn free(&self, address: String, request: BackendCall);
+    /// Frees results at the back end at `address`; told when they are freed.
+    fn free(&self, address: String, handles: Vec<ResultHandle>, request: BackendCall);
 
     /// Takes other limits on callers.
     fn set_limits(&self, limits: CallerLimits);
@@ -87,11 +88,14 @@
         });
     }
 
-    fn free(&self, address: String, request: BackendCall) {
+    fn free(&self, address: String, handles: Vec<ResultHandle>, request: BackendCall) {
         let calls = self.clone();
         self.runtime.spawn(async move {
             // Results that are not freed end by themselves.
-            let _ = calls.call(&address, request, CALL_TIMEOUT).await;
+            let answer = calls.call(&address, request, CALL_TIMEOUT).await;
+            if answer.is_ok_and(|answer| answer.status == 200) {
+                calls.tell(GatewayEvent::ResultsFreed { handles });
+            }
         });
     }
 
--- a/crates/daemon/src/gateway/event.rs
+++ b/crates/daemon/src/gateway/event.rs
@@ -3,6 +3,7 @@
 use crate::evacuation::ZoneOrder;
 use silversail_control::{EvacuationRevision, PublishReply, PublishedTraffic};
 use silversail_model::ResultCode;
+use silversail_peer::ResultHandle;
 use silversail_serving::batcher::{CallId, CallOutcome};
 use silversail_serving::dispatcher::{Refusal, RequestNumber, SendOutcome, SendPlan};
 use silversail_serving::ports::{CallAttributes, ListedInstance, ReportedLoad};
@@ -65,6 +66,11 @@
         /// What came of it.
         outcome: CallOutcome,
     },
+    /// Makers freed results.
+    ResultsFreed {
+        /// The results.
+        handles: Vec<ResultHandle>,
+    },
     /// The whole list of back ends was read.
     Listed(ListRead),
     /// The list of back ends could not be read.
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -30,10 +30,6 @@
 
 /// Most calls that a piece takes part in.
 const MAX_CALLS_OF_PIECE: u32 = 3;
-/// Time after which a call that did not wait has read its inputs, in
-/// milliseconds.
-const INPUTS_READ_AFTER: Millis = 100;
-
 /// How long the results of the node that batched before are assumed to take half of
 /// the room, in milliseconds.
 const FORMER_OWNER_FOR: Millis = 1_000;
@@ -205,6 +201,11 @@
         self.room.release(handles);
     }
 
+    /// Makers said that they freed results.
+    pub fn freed(&mut self, handles: &[ResultHandle]) {
+        self.room.freed(handles);
+    }
+
     /// Results to be freed at their makers.
     pub fn take_releases(&mut self) -> Vec<ResultHandle> {
         self.room.take_releases()
@@ -450,11 +451,12 @@
         if !self.policy.early_freeing {
             return Vec::new();
         }
+        let read_after = self.policy.inputs_read_after_ms;
         let is_read = |order: &Order| {
             let called_at = order.all_called_at;
             !order.told_inputs_read
                 && !order.is_at_risk
-                && called_at.is_some_and(|at| at + INPUTS_READ_AFTER <= now)
+                && called_at.is_some_and(|at| at + read_after <= now)
         };
         let read = self.orders.iter_mut().filter(|(_, order)| is_read(order));
         read.map(|(key, order)| {
--- a/crates/serving/src/batcher/room.rs
+++ b/crates/serving/src/batcher/room.rs
@@ -10,6 +10,8 @@
     maker: String,
     bytes: u64,
     until: Millis,
+    /// Whether its maker was told that it is not needed any more.
+    is_released: bool,
 }
 
 /// Counts the room taken at each maker: by results held, and by calls under way.
@@ -64,17 +66,30 @@
             maker: maker.to_owned(),
             bytes,
             until,
+            is_released: false,
         };
         self.held.insert(handle.clone(), held);
     }
 
-    /// Results are not needed any more.
+    /// Results are not needed any more. Their room counts as taken until their makers said
+    /// that they freed them: a call that counts on it sooner finds it taken.
     pub(super) fn release(&mut self, handles: &[ResultHandle]) {
+        for handle in handles {
+            if let Some(held) = self.held.get_mut(handle) {
+                if std::mem::replace(&mut held.is_released, true) {
+                    continue;
+                }
+            }
+            self.releases.push(handle.clone());
+        }
+    }
+
+    /// Makers freed results.
+    pub(super) fn freed(&mut self, handles: &[ResultHandle]) {
         for handle in handles {
             if let Some(held) = self.held.remove(handle) {
                 self.unreserve(&held.maker, held.bytes);
             }
-            self.releases.push(handle.clone());
         }
     }
 
--- a/crates/serving/src/batcher/schedule.rs
+++ b/crates/serving/src/batcher/schedule.rs
@@ -12,10 +12,6 @@
 /// An order that had better be made elsewhere counts as less urgent
 /// by this much, in milliseconds.
 const FAR_STEP: Millis = 300;
-/// Share of the makers' room that is filled: sizes of results are approximate,
-/// and a result that is freed is gone a little later.
-const ROOM_SHARE: f64 = 0.85;
-
 /// How often what expired is looked for, in milliseconds.
 const HOUSEKEEPING_EVERY: Millis = 20;
 
@@ -152,7 +148,7 @@
         share: usize,
         now: Millis,
     ) -> Vec<(OrderKey, usize)> {
-        let usable = (spec.room_bytes as f64 * ROOM_SHARE) as u64;
+        let usable = (spec.room_bytes as f64 * self.policy.room_share) as u64;
         let mut room = usable.saturating_sub(self.room.taken(maker));
         let mut taken: Vec<(OrderKey, usize)> = Vec::new();
         let mut taken_orders = 0;
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -7,6 +7,10 @@
 
 /// Least and greatest share of an objective that may be admitted on.
 const SHARES: std::ops::RangeInclusive<f64> = 0.1..=2.0;
+/// Least and greatest share of the makers' room that may be filled.
+const ROOM_SHARES: std::ops::RangeInclusive<f64> = 0.2..=1.0;
+/// Longest time until a call has read its inputs, in milliseconds.
+const MAX_INPUTS_READ_MS: u64 = 2_000;
 /// Longest wait of an order for a maker in its zone, in milliseconds.
 const MAX_ZONE_WAIT_MS: u64 = 2_000;
 /// Greatest time after which a caller may be told to come back, in milliseconds.
@@ -47,6 +51,10 @@
     pub early_freeing: bool,
     /// How cold back ends are used.
     pub cold_use: ColdUse,
+    /// Share of the makers' room that calls fill.
+    pub room_share: f64,
+    /// Time after which a call that did not wait has read its inputs, in milliseconds.
+    pub inputs_read_after_ms: u64,
     /// Share of the objective within which a chain must be expected to end, by rank: waits
     /// are told late, and bursts come between. What is less urgent is refused first.
     pub admitted_shares: [f64; RANKS],
@@ -75,6 +83,8 @@
             pass_over_failing: true,
             early_freeing: true,
             cold_use: ColdUse::Limited,
+            room_share: 1.0,
+            inputs_read_after_ms: 100,
             admitted_shares: [1.0, 0.9, 0.7, 0.6],
             return_after_ms: 300,
             return_latest_ms: 3_000,
@@ -106,6 +116,12 @@
         if self.zone_wait_ms > MAX_ZONE_WAIT_MS {
             return error("zone_wait_ms", "must be at most 2000");
         }
+        if !ROOM_SHARES.contains(&self.room_share) {
+            return error("room_share", "must lie between 0.2 and 1.0");
+        }
+        if self.inputs_read_after_ms > MAX_INPUTS_READ_MS {
+            return error("inputs_read_after_ms", "must be at most 2000");
+        }
         let most = self.return_latest_ms;
         if most > MAX_RETURN_MS {
             return error("return_latest_ms", "must be at most 10000");
--- a/crates/serving/tests/batcher.rs
+++ b/crates/serving/tests/batcher.rs
@@ -21,8 +21,13 @@
     Shard::whole("encode")
 }
 
+/// A batcher that fills 85 in 100 of the makers' room.
 fn batcher() -> Batcher {
-    let mut batcher = Batcher::new(Policy::default(), DecisionLog::off());
+    let policy = Policy {
+        room_share: 0.85,
+        ..Policy::default()
+    };
+    let mut batcher = Batcher::new(policy, DecisionLog::off());
     batcher.set_specs([("encode".to_owned(), batch_spec())].into());
     batcher
 }
@@ -136,8 +141,12 @@
     batcher.call_ended(first[0].call, made(&first[0]), 300);
     assert!(batcher.next_calls(&table, 300).is_empty());
     batcher.release(&[ResultHandle("s1:80/r1-0".into())]);
-    assert_eq!(batcher.take_releases().len(), 1);
-    assert_eq!(batcher.next_calls(&table, 301)[0].pieces.len(), 1);
+    let releases = batcher.take_releases();
+    assert_eq!(releases.len(), 1);
+    // The maker has not said yet that the room is free: a call that relied on it found none.
+    assert!(batcher.next_calls(&table, 301).is_empty());
+    batcher.freed(&releases);
+    assert_eq!(batcher.next_calls(&table, 305)[0].pieces.len(), 1);
 }
 
 #[test]
@@ -468,6 +477,7 @@
         .map(|index| ResultHandle(format!("s1:80/r1-{index}")))
         .collect();
     batcher.release(&handles);
+    batcher.freed(&handles);
     let third = batcher.next_calls(&table, 490).remove(0);
     assert_eq!(third.pieces.len(), 2);
 }
@@ -601,3 +611,18 @@
     let refused = batcher.submit(key(3), work(3, 1), &table, 310);
     assert_eq!(refused, Err(PieceFailure::NoBackend));
 }
+
+/// A result that two messages release is freed once.
+#[test]
+fn a_result_is_freed_once() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 2), &table, 0)
+        .expect("taken");
+    let call = batcher.next_calls(&table, 0).remove(0);
+    let finished = batcher.call_ended(call.call, made(&call), 260);
+    let handles = finished[0].result.clone().expect("made");
+    batcher.release(&handles);
+    batcher.release(&handles);
+    assert_eq!(batcher.take_releases().len(), 2);
+}
