Owners of whole services are the largest nodes that do not lead

Hypothesis: on the nodes with 0.32 of a core it keeps up.

Change: nodes tell their share of a core (gateway.processor_share, from the machine's limits) with their reports, the view keeps it, and a whole service goes to a node with the largest share among those that neither lead nor own another shard. Zones' shards as before.

--- a/crates/control/src/batch_owners.rs
+++ b/crates/control/src/batch_owners.rs
@@ -31,6 +31,10 @@
     pub zone: &'a str,
     /// Whether it replicates the state and so has other work, and is watched for by all.
     pub replicates: bool,
+    /// Whether it leads the control group.
+    pub leads: bool,
+    /// Share of a core that it may use, in hundredths.
+    pub processor_percent: u16,
     /// Whether callers may be sent to it, so that it may get a shard. One that may not, as
     /// its configuration is not confirmed, keeps the shards of zones that it has.
     pub usable: bool,
@@ -75,8 +79,10 @@
     zones.map(|zone| Shard::in_zone(service, zone)).collect()
 }
 
-/// The owner of a shard that has none: a node in the shard's zone that neither
-/// replicates the state nor owns another shard, where there is one.
+/// The owner of a shard that has none. For a whole service, a node with the largest share of
+/// a core among those that neither lead nor own another shard: all pieces of a service pass
+/// its owner. For a zone's shard, a node in the zone that neither replicates the state nor
+/// owns another shard, where there is one.
 fn new_owner<'a>(
     shard: &Shard,
     candidates: &[Candidate<'a>],
@@ -87,7 +93,11 @@
         first_for_shard(fit.map(|one| one.node), shard)
     };
     let Some(zone) = &shard.zone else {
-        return first(&|_| true);
+        let is_free = |one: &Candidate| one.usable && !one.leads && !taken.contains(one.node);
+        let free = candidates.iter().filter(|one| is_free(one));
+        let largest = free.map(|one| one.processor_percent).max();
+        let is_largest = |one: &Candidate| Some(one.processor_percent) == largest;
+        return first(&|one| is_free(one) && is_largest(one)).or_else(|| first(&|_| true));
     };
     let is_near = |one: &Candidate| one.zone == zone;
     let is_free = |one: &Candidate| !one.replicates && !taken.contains(one.node);
--- a/crates/control/src/membership_table.rs
+++ b/crates/control/src/membership_table.rs
@@ -77,6 +77,7 @@
             incarnation: report.incarnation,
             zone: report.zone.clone(),
             caller_address: report.caller_address.clone(),
+            processor_percent: report.processor_percent,
             usable: report.serving && !report.stopping,
         };
         let expires_at = now + self.lease_duration;
@@ -112,12 +113,14 @@
     }
 
     /// Assigns the services that are batched to the usable nodes. `makers` counts their
-    /// back ends, `replicating` names the nodes that replicate the state.
+    /// back ends, `replicating` names the nodes that replicate the state, `leader` the one
+    /// that leads.
     pub fn assign_services(
         &mut self,
         services: &[String],
         makers: &BTreeMap<String, MakersByZone>,
         replicating: &[NodeName],
+        leader: &NodeName,
         now: Millis,
     ) {
         if now < self.assigns_from {
@@ -130,6 +133,8 @@
                 node: &lease.status.node,
                 zone: &lease.status.zone,
                 replicates: replicating.contains(&lease.status.node),
+                leads: lease.status.node == *leader,
+                processor_percent: lease.status.processor_percent,
                 usable: lease.status.usable,
             })
             .collect();
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -27,6 +27,8 @@
     pub zone: String,
     /// Address at which callers reach it.
     pub caller_address: String,
+    /// Share of a core that it may use, in hundredths.
+    pub processor_percent: u16,
     /// Whether it is stopping.
     pub stopping: bool,
     /// Whether its own configuration is current enough to serve.
@@ -52,6 +54,8 @@
     pub zone: String,
     /// Address at which callers reach it.
     pub caller_address: String,
+    /// Share of a core that it may use, in hundredths.
+    pub processor_percent: u16,
     /// Whether callers may be sent to it.
     pub usable: bool,
 }
--- a/crates/control/tests/shards.rs
+++ b/crates/control/tests/shards.rs
@@ -24,6 +24,8 @@
         node: Box::leak(Box::new(node.clone())),
         zone,
         replicates: *replicates,
+        leads: false,
+        processor_percent: 100,
         usable: true,
     });
     leaked.collect()
@@ -198,3 +200,44 @@
     assign(&mut fresh, &services, &makers, &unconfirmed);
     assert!(fresh.values().all(|owner| owner.as_str() == "a1"));
 }
+
+/// All pieces of a service pass its owner: an eighth of a core was too little for it.
+#[test]
+fn whole_services_go_to_the_largest_nodes_that_do_not_lead() {
+    let names: Vec<NodeName> = (0..20)
+        .map(|number| NodeName(format!("n{number}")))
+        .collect();
+    let candidates: Vec<Candidate> = names
+        .iter()
+        .enumerate()
+        .map(|(number, node)| Candidate {
+            node,
+            zone: "a",
+            replicates: number < 4,
+            leads: number == 0,
+            processor_percent: if number < 4 { 32 } else { 12 },
+            usable: true,
+        })
+        .collect();
+    let services: Vec<String> = (0..3).map(|number| format!("s{number}")).collect();
+    let mut owners = BatchOwners::new();
+    assert!(assign(
+        &mut owners,
+        &services,
+        &BTreeMap::new(),
+        &candidates
+    ));
+    let chosen: BTreeSet<&NodeName> = owners.values().collect();
+    assert_eq!(chosen, names[1..4].iter().collect());
+    // One more than there are large nodes goes to a small one, not to the leader.
+    let services: Vec<String> = (0..4).map(|number| format!("s{number}")).collect();
+    assert!(assign(
+        &mut owners,
+        &services,
+        &BTreeMap::new(),
+        &candidates
+    ));
+    assert!(owners.values().all(|owner| *owner != names[0]));
+    let chosen: BTreeSet<&NodeName> = owners.values().collect();
+    assert_eq!(chosen.len(), 4);
+}
--- a/crates/control/tests/view_updates.rs
+++ b/crates/control/tests/view_updates.rs
@@ -13,6 +13,7 @@
         incarnation: 1,
         zone: "z".into(),
         caller_address: "127.0.0.1:1".into(),
+        processor_percent: 100,
         usable,
     }
 }
--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -480,6 +480,7 @@
             directory: context.directory.clone(),
             zone: settings.own_node().zone.clone(),
             caller_address: settings.own_node().callers.clone(),
+            processor_percent: settings.processor_percent(),
             heartbeat: Duration::from_millis(settings.timing.session_heartbeat_ms),
             freshness_lease: settings.timing.freshness_lease_ms,
             state: context.state.clone(),
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -136,7 +136,8 @@
         table.expire(now);
         let services = batched_services(&self.setup.machine.borrow());
         let replicating = self.setup.directory.borrow().replicating();
-        table.assign_services(&services, &self.makers, &replicating, now);
+        let own = self.setup.outbox.borrow().node().clone();
+        table.assign_services(&services, &self.makers, &replicating, &own, now);
         if table.version() != self.sent_version {
             let view = table.view();
             let sent = std::mem::replace(&mut self.sent_version, view.version);
--- a/crates/daemon/src/session/session_actor.rs
+++ b/crates/daemon/src/session/session_actor.rs
@@ -25,6 +25,8 @@
     pub zone: String,
     /// Address that callers are told.
     pub caller_address: String,
+    /// Share of a core that the process may use, in hundredths.
+    pub processor_percent: u16,
     /// Between heartbeats.
     pub heartbeat: Duration,
     /// How old the configuration may be before the node refuses requests.
@@ -143,6 +145,7 @@
                     incarnation: outbox.incarnation(),
                     zone: self.setup.zone.clone(),
                     caller_address: self.setup.caller_address.clone(),
+                    processor_percent: self.setup.processor_percent,
                     stopping: state.stopping,
                     serving: state.is_current(now, self.setup.freshness_lease),
                     revision: state.configuration.revision(),
--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -46,11 +46,19 @@
     /// The time over which both are counted, in milliseconds.
     #[serde(default = "default_retry_window")]
     pub retry_window_ms: u64,
+    /// Share of a core that this process may use. Nodes with the largest share batch for
+    /// services.
+    #[serde(default = "default_processor_share")]
+    pub processor_share: f64,
     /// Switches and figures of the decisions.
     #[serde(default)]
     pub policy: Policy,
 }
 
+fn default_processor_share() -> f64 {
+    1.0
+}
+
 fn default_list_rate() -> f64 {
     10.0
 }
--- a/crates/daemon/src/settings/validation.rs
+++ b/crates/daemon/src/settings/validation.rs
@@ -5,6 +5,9 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+/// Shares of a core that a process may use, up to a large machine.
+const PROCESSOR_SHARES: std::ops::RangeInclusive<f64> = 0.01..=64.0;
+
 impl Settings {
     /// Checks references, addresses and ranges.
     pub fn validate(&self) -> Result<(), SettingsError> {
@@ -79,6 +82,15 @@
         ] {
             check_address(path, address)?;
         }
+        if !PROCESSOR_SHARES.contains(&gateway.processor_share) {
+            let path = "gateway.processor_share";
+            let message = "must lie between 0.01 and 64";
+            return Err(SettingsError::new(
+                ResultCode::ValueOutOfRange,
+                path,
+                message,
+            ));
+        }
         for (position, zone) in gateway.zones.iter().enumerate() {
             if !silversail_model::identifiers::is_valid_name(zone) {
                 let path = format!("gateway.zones[{position}]");
--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -13,6 +13,7 @@
         incarnation: 1,
         zone: "z".into(),
         caller_address: "127.0.0.1:1".into(),
+        processor_percent: 100,
         usable: true,
     };
     ClusterView {
@@ -41,6 +42,8 @@
         node: &status.node,
         zone: &status.zone,
         replicates: false,
+        leads: false,
+        processor_percent: 100,
         usable: status.usable,
     }
 }
--- a/crates/daemon/tests/views.rs
+++ b/crates/daemon/tests/views.rs
@@ -11,6 +11,7 @@
         incarnation: 1,
         zone: "z".into(),
         caller_address: "127.0.0.1:1".into(),
+        processor_percent: 100,
         usable: *usable,
     };
     ClusterView {
