--- /dev/null
+++ b/crates/daemon/src/actors/builder.rs
@@ -0,0 +1,279 @@
+//! Puts the actors of one node together.
+
+use super::{ActorContext, NodeActors, Platform, VoterActors};
+use crate::discovery::DiscoveryActor;
+use crate::evacuation::{EvacuationActor, EvacuationSetup};
+use crate::gateway::{GatewayActor, GatewaySetup};
+use crate::node::NodeError;
+use crate::orders::{OrderActor, OrderSetup};
+use crate::replica::{ProposerActor, ReplicaActor, ReplicaSetup, SharedStatus};
+use crate::requests::{RequestActor, RequestSetup};
+use crate::session::{RelayActor, RelaySetup, SessionActor, SessionSetup};
+use silversail_consensus::StateMachine;
+use silversail_control::ControlState;
+use silversail_ledger::LedgerState;
+use silversail_peer::GroupId;
+use stakker::{actor, fwd, fwd_do, fwd_nop, fwd_to, ret_nop, Actor, ActorOwn, Fwd, Stakker};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Puts a node's actors together.
+pub struct ActorBuilder<'a, P> {
+    stakker: &'a mut Stakker,
+    context: ActorContext,
+    platform: &'a mut P,
+    statuses: BTreeMap<GroupId, SharedStatus>,
+}
+
+impl<'a, P: Platform> ActorBuilder<'a, P> {
+    /// A builder of actors on `stakker`.
+    pub fn new(stakker: &'a mut Stakker, context: ActorContext, platform: &'a mut P) -> Self {
+        Self {
+            stakker,
+            context,
+            platform,
+            statuses: BTreeMap::new(),
+        }
+    }
+
+    /// Opens the replicas and starts all actors.
+    pub fn build(mut self) -> Result<NodeActors, NodeError> {
+        let settings = self.context.settings.clone();
+        let voter = match settings.is_voter() {
+            true => Some(self.voter()?),
+            false => None,
+        };
+        let control_proposer = self.proposer(GroupId::Control);
+        let ledger_proposers: Vec<ActorOwn<ProposerActor>> = (0..settings.cluster.ledger_groups)
+            .map(|part| self.proposer(GroupId::Ledger(part)))
+            .collect();
+        let requests = self.requests(&ledger_proposers);
+        let relay = voter.as_ref().map(|voter| (*voter.relay).clone());
+        let evacuation = self.evacuation(&control_proposer);
+        let gateway = self.gateway(&control_proposer, evacuation.as_ref(), relay);
+        let session = self.session(requests.as_ref(), gateway.as_ref());
+        let orders = voter
+            .as_ref()
+            .and_then(|voter| self.orders(voter, &control_proposer));
+        let discovery = self.discovery();
+        Ok(NodeActors {
+            discovery,
+            directory: self.context.directory,
+            outbox: self.context.outbox,
+            clock: self.context.clock,
+            voter,
+            control_proposer,
+            evacuation,
+            session,
+            requests,
+            orders,
+            gateway,
+            statuses: self.statuses,
+            ledger_proposers,
+        })
+    }
+
+    fn status_of(&mut self, group: GroupId) -> SharedStatus {
+        self.statuses.entry(group).or_default().clone()
+    }
+
+    fn voter(&mut self) -> Result<VoterActors, NodeError> {
+        let settings = self.context.settings.clone();
+        let machine = Rc::new(RefCell::new(ControlState::default()));
+        let setup = RelaySetup {
+            directory: self.context.directory.clone(),
+            machine: machine.clone(),
+            status: self.status_of(GroupId::Control),
+            outbox: self.context.outbox.clone(),
+            node_lease: settings.timing.node_lease_ms,
+            clock: self.context.clock,
+        };
+        let relay = actor!(self.stakker, RelayActor::init(setup), ret_nop!());
+        let on_applied = fwd_to!([relay], configuration_applied() as ());
+        let control = self.replica(GroupId::Control, machine.clone(), on_applied)?;
+        let mut ledgers = Vec::new();
+        for part in 0..settings.cluster.ledger_groups {
+            let ledger = LedgerState::new(settings.timing.ledger_retention_ms);
+            let ledger = Rc::new(RefCell::new(ledger));
+            ledgers.push(self.replica(GroupId::Ledger(part), ledger, fwd_nop!())?);
+        }
+        Ok(VoterActors {
+            control,
+            ledgers,
+            relay,
+            machine,
+        })
+    }
+
+    fn replica<M: StateMachine + 'static>(
+        &mut self,
+        group: GroupId,
+        machine: Rc<RefCell<M>>,
+        on_applied: Fwd<()>,
+    ) -> Result<ActorOwn<ReplicaActor<M>>, NodeError> {
+        let files = self.platform.open_replica(group)?;
+        let settings = &self.context.settings;
+        let setup = ReplicaSetup {
+            group,
+            node: settings.node.clone(),
+            replica: files.identity,
+            directory: self.context.directory.clone(),
+            stored: files.stored,
+            config: settings.consensus_config(),
+            seed: self.platform.seed(),
+            machine,
+            status: self.status_of(group),
+            outbox: self.context.outbox.clone(),
+            writer: files.writer,
+            on_applied,
+            clock: self.context.clock,
+        };
+        Ok(actor!(
+            self.stakker,
+            <ReplicaActor<M>>::init(setup),
+            ret_nop!()
+        ))
+    }
+
+    fn discovery(&mut self) -> ActorOwn<DiscoveryActor> {
+        let context = &self.context;
+        let (directory, outbox) = (context.directory.clone(), context.outbox.clone());
+        let clock = context.clock;
+        actor!(
+            self.stakker,
+            DiscoveryActor::init(directory, outbox, clock),
+            ret_nop!()
+        )
+    }
+
+    fn proposer(&mut self, group: GroupId) -> ActorOwn<ProposerActor> {
+        let directory = self.context.directory.clone();
+        let outbox = self.context.outbox.clone();
+        let metrics = self.context.metrics.clone();
+        actor!(
+            self.stakker,
+            ProposerActor::init(group, directory, outbox, metrics),
+            ret_nop!()
+        )
+    }
+
+    fn requests(&mut self, ledgers: &[ActorOwn<ProposerActor>]) -> Option<ActorOwn<RequestActor>> {
+        let calls = self.platform.calls()?;
+        let context = &self.context;
+        let setup = RequestSetup {
+            settings: context.settings.clone(),
+            node: context.settings.node.clone(),
+            incarnation: context.outbox.borrow().incarnation(),
+            state: context.state.clone(),
+            ledgers: ledgers.iter().map(|ledger| (**ledger).clone()).collect(),
+            calls,
+            metrics: context.metrics.clone(),
+            clock: context.clock,
+            seed: self.platform.seed(),
+        };
+        Some(actor!(self.stakker, RequestActor::init(setup), ret_nop!()))
+    }
+
+    fn evacuation(
+        &mut self,
+        proposer: &ActorOwn<ProposerActor>,
+    ) -> Option<ActorOwn<EvacuationActor>> {
+        let context = &self.context;
+        let setup = EvacuationSetup {
+            zones: context.settings.gateway.as_ref()?.zones.clone(),
+            state: context.state.clone(),
+            proposer: (**proposer).clone(),
+            log: context.log.clone(),
+        };
+        Some(actor!(
+            self.stakker,
+            EvacuationActor::init(setup),
+            ret_nop!()
+        ))
+    }
+
+    fn gateway(
+        &mut self,
+        proposer: &ActorOwn<ProposerActor>,
+        evacuation: Option<&ActorOwn<EvacuationActor>>,
+        relay: Option<Actor<RelayActor>>,
+    ) -> Option<ActorOwn<GatewayActor>> {
+        let control = self.status_of(GroupId::Control);
+        let ports = self.platform.gateway()?;
+        let context = &self.context;
+        let setup = GatewaySetup {
+            settings: context.settings.gateway.clone()?,
+            zone: context.settings.own_node().zone.clone(),
+            state: context.state.clone(),
+            directory: context.directory.clone(),
+            outbox: context.outbox.clone(),
+            proposer: (**proposer).clone(),
+            evacuation: (**evacuation?).clone(),
+            relay,
+            control,
+            protocols: ports.protocols,
+            calls: ports.calls,
+            log: context.log.clone(),
+            metrics: context.metrics.clone(),
+            clock: context.clock,
+        };
+        Some(actor!(self.stakker, GatewayActor::init(setup), ret_nop!()))
+    }
+
+    fn session(
+        &mut self,
+        requests: Option<&ActorOwn<RequestActor>>,
+        gateway: Option<&ActorOwn<GatewayActor>>,
+    ) -> ActorOwn<SessionActor> {
+        let tell_requests: Fwd<()> = match requests {
+            Some(requests) => fwd_to!([requests], node_state_changed() as ()),
+            None => fwd_nop!(),
+        };
+        let tell_gateway: Fwd<()> = match gateway {
+            Some(gateway) => fwd_to!([gateway], node_state_changed() as ()),
+            None => fwd_nop!(),
+        };
+        let on_change = fwd_do!(move |_: ()| {
+            fwd!([tell_requests], ());
+            fwd!([tell_gateway], ());
+        });
+        let context = &self.context;
+        let settings = &context.settings;
+        let setup = SessionSetup {
+            directory: context.directory.clone(),
+            zone: settings.own_node().zone.clone(),
+            caller_address: settings.own_node().callers.clone(),
+            processor_percent: settings.processor_percent(),
+            heartbeat: Duration::from_millis(settings.timing.session_heartbeat_ms),
+            freshness_lease: settings.timing.freshness_lease_ms,
+            state: context.state.clone(),
+            outbox: context.outbox.clone(),
+            metrics: context.metrics.clone(),
+            on_change,
+            clock: context.clock,
+        };
+        actor!(self.stakker, SessionActor::init(setup), ret_nop!())
+    }
+
+    fn orders(
+        &mut self,
+        voter: &VoterActors,
+        proposer: &ActorOwn<ProposerActor>,
+    ) -> Option<ActorOwn<OrderActor>> {
+        let sender = self.platform.order_sender()?;
+        let timing = self.context.settings.timing.clone();
+        let setup = OrderSetup {
+            machine: voter.machine.clone(),
+            status: self.status_of(GroupId::Control),
+            state: self.context.state.clone(),
+            proposer: (**proposer).clone(),
+            sender,
+            leader_lease: timing.election_timeout_ms,
+            weight_store_mb_per_s: timing.weight_store_mb_per_s,
+            clock: self.context.clock,
+        };
+        Some(actor!(self.stakker, OrderActor::init(setup), ret_nop!()))
+    }
+}
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -9,27 +9,26 @@
 mod estimate;
 mod makers;
 mod order;
+mod outcomes;
 mod room;
 mod schedule;
 
-use crate::instances::{Instance, InstanceTable};
+use crate::instances::InstanceTable;
 use crate::policy::Policy;
 use crate::ports::PieceResults;
 use crate::Millis;
 pub use announced::AnnouncedOrder;
 use announced::AnnouncedOrders;
 use estimate::Pace;
-use makers::{call_ms, MakerBook};
+use makers::MakerBook;
 use order::{Order, PieceState};
 use room::RoomBook;
 use silversail_decisions::{DecisionLog, Event};
 use silversail_model::traffic::BatchSpec;
 use silversail_model::{NodeName, Shard};
 use silversail_peer::{PhaseWork, Piece, PieceFailure, ResultHandle, WorkId};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
-/// Most calls that a piece takes part in.
-const MAX_CALLS_OF_PIECE: u32 = 3;
 /// How long the results of the node that batched before are assumed to take half of
 /// the room, in milliseconds.
 const FORMER_OWNER_FOR: Millis = 1_000;
@@ -281,181 +280,10 @@
         }
     }
 
-    /// A call ended. Returns the orders that ended with it.
-    pub fn call_ended(
-        &mut self,
-        call: CallId,
-        outcome: CallOutcome,
-        now: Millis,
-    ) -> Vec<FinishedOrder> {
-        let Some(state) = self.calls.remove(&call) else {
-            return Vec::new();
-        };
-        self.room.unreserve(&state.instance, state.room);
-        self.log.record(Event::BatchEnded {
-            backend: state.instance.clone(),
-            outcome: outcome_text(&outcome),
-            took_ms: now.saturating_sub(state.began_at),
-        });
-        self.note_maker(&state, &outcome, now);
-        match outcome {
-            CallOutcome::Answered(results) => self.answered(&state, results, now),
-            CallOutcome::NotRun | CallOutcome::Unreachable => self.put_back(&state, false),
-            CallOutcome::Unknown => self.put_back(&state, true),
-        }
-    }
-
-    fn note_maker(&mut self, call: &CallState, outcome: &CallOutcome, now: Millis) {
-        let Some(spec) = self.specs.get(&call.shard.service) else {
-            return;
-        };
-        let expected = call_ms(spec, call.members.len());
-        let took = now.saturating_sub(call.began_at);
-        self.makers.call_ended(
-            &call.instance,
-            &call.shard.service,
-            outcome,
-            took,
-            expected,
-            now,
-        );
-    }
-
-    fn answered(
-        &mut self,
-        call: &CallState,
-        results: PieceResults,
-        now: Millis,
-    ) -> Vec<FinishedOrder> {
-        let lifetime = self
-            .specs
-            .get(&call.shard.service)
-            .map_or(0, |spec| spec.result_lifetime_ms);
-        let mut finished = Vec::new();
-        for ((key, index), result) in call.members.iter().zip(results) {
-            if let Ok(handle) = &result {
-                let bytes = self.bytes_of(key, *index);
-                self.room
-                    .hold(key, &call.instance, handle, bytes, now + lifetime);
-            }
-            if let Some(failure) = self.take_result(key, *index, result, &call.instance, now) {
-                finished.extend(self.fail(key, failure));
-            }
-        }
-        self.collect_whole(&call.members, &mut finished);
-        finished
-    }
-
     fn room_of(&self, service: &str) -> u64 {
         self.specs.get(service).map_or(0, |spec| spec.room_bytes)
     }
 
-    fn bytes_of(&self, key: &OrderKey, index: usize) -> u64 {
-        let order = self.orders.get(key);
-        order.map_or(0, |order| order.work.pieces[index].result_bytes)
-    }
-
-    /// Takes a piece's result; returns why its order can't go on.
-    fn take_result(
-        &mut self,
-        key: &OrderKey,
-        index: usize,
-        result: Result<ResultHandle, PieceFailure>,
-        maker: &str,
-        now: Millis,
-    ) -> Option<PieceFailure> {
-        let Some(order) = self.orders.get_mut(key) else {
-            // Cancelled while the call ran.
-            if let Ok(handle) = result {
-                self.room.release(&[handle]);
-            }
-            return None;
-        };
-        match result {
-            Ok(handle) => {
-                order.set_state(index, PieceState::Made(handle));
-                None
-            }
-            Err(PieceFailure::NoRoom) => {
-                self.makers.refused(maker, now);
-                order.put_back(index, false, MAX_CALLS_OF_PIECE)
-            }
-            Err(PieceFailure::Failed) => order.put_back(index, true, MAX_CALLS_OF_PIECE),
-            Err(failure) => Some(failure),
-        }
-    }
-
-    fn put_back(&mut self, call: &CallState, counts: bool) -> Vec<FinishedOrder> {
-        let mut finished = Vec::new();
-        for (key, index) in &call.members {
-            let order = self.orders.get_mut(key);
-            let failure =
-                order.and_then(|order| order.put_back(*index, counts, MAX_CALLS_OF_PIECE));
-            if let Some(failure) = failure {
-                finished.extend(self.fail(key, failure));
-            }
-        }
-        finished
-    }
-
-    fn fail(&mut self, key: &OrderKey, failure: PieceFailure) -> Option<FinishedOrder> {
-        let order = self.remove_order(key)?;
-        self.room.release(&order.made());
-        Some(FinishedOrder {
-            key: key.clone(),
-            shard: order.work.shard,
-            result: Err(failure),
-        })
-    }
-
-    fn collect_whole(&mut self, members: &[(OrderKey, usize)], finished: &mut Vec<FinishedOrder>) {
-        for (key, _) in members {
-            let is_whole = self.orders.get(key).is_some_and(Order::is_whole);
-            if !is_whole {
-                continue;
-            }
-            if let Some(order) = self.remove_order(key) {
-                finished.push(FinishedOrder {
-                    key: key.clone(),
-                    result: Ok(order.made()),
-                    shard: order.work.shard,
-                });
-            }
-        }
-    }
-
-    /// Ends the orders whose time is over.
-    pub fn expire(&mut self, now: Millis) -> Vec<FinishedOrder> {
-        self.announced.expire(now);
-        let late = self
-            .orders
-            .iter()
-            .filter(|(_, order)| order.deadline <= now);
-        let late: Vec<OrderKey> = late.map(|(key, _)| key.clone()).collect();
-        late.iter()
-            .filter_map(|key| self.fail(key, PieceFailure::Late))
-            .collect()
-    }
-
-    /// Ends the waiting orders of shards whose makers may get no work any more, as they leave
-    /// or their zone is evacuated: whoever gave them can give them to another shard, or refuse
-    /// at once.
-    pub fn end_unstaffed(&mut self, table: &InstanceTable) -> Vec<FinishedOrder> {
-        let is_unstaffed = |shard: &&Shard| !table.of_shard(shard).any(Instance::takes_work);
-        let unstaffed: BTreeSet<Shard> = self.shards.keys().filter(is_unstaffed).cloned().collect();
-        if unstaffed.is_empty() {
-            return Vec::new();
-        }
-        let orders = self.orders.iter();
-        let ended =
-            orders.filter(|(_, order)| order.is_waiting() && unstaffed.contains(&order.work.shard));
-        let ended: Vec<OrderKey> = ended.map(|(key, _)| key.clone()).collect();
-        ended
-            .iter()
-            .filter_map(|key| self.fail(key, PieceFailure::NoBackend))
-            .collect()
-    }
-
     /// Orders whose back ends have read all inputs by now: their calls began at
     /// once, as no other waited there, and inputs are read first. The inputs can
     /// be freed; each order is told once. Orders at risk are not told: a piece that is
@@ -490,25 +318,3 @@
     requests.dedup();
     requests
 }
-
-/// What a call came to, for the log; for each way in which pieces failed, how many.
-fn outcome_text(outcome: &CallOutcome) -> String {
-    let results = match outcome {
-        CallOutcome::Answered(results) => results,
-        CallOutcome::NotRun => return "not_run".to_owned(),
-        CallOutcome::Unreachable => return "unreachable".to_owned(),
-        CallOutcome::Unknown => return "unknown".to_owned(),
-    };
-    let mut failures: BTreeMap<PieceFailure, usize> = BTreeMap::new();
-    for failure in results.iter().filter_map(|result| result.as_ref().err()) {
-        *failures.entry(*failure).or_default() += 1;
-    }
-    if failures.is_empty() {
-        return "made".to_owned();
-    }
-    let counts: Vec<String> = failures
-        .iter()
-        .map(|(failure, count)| format!("{failure:?}={count}"))
-        .collect();
-    format!("made_in_part {}", counts.join(" "))
-}
--- /dev/null
+++ b/crates/serving/tests/common/batches.rs
@@ -0,0 +1,63 @@
+//! A batcher of one service, with its makers and orders.
+
+use super::{batch_spec, instance};
+use silversail_decisions::DecisionLog;
+use silversail_model::Shard;
+use silversail_peer::{PhaseWork, Piece, PieceSource};
+use silversail_serving::batcher::{Batcher, OrderKey};
+use silversail_serving::instances::InstanceTable;
+use silversail_serving::policy::Policy;
+
+pub fn table(makers: &[(&str, &str)]) -> InstanceTable {
+    let mut table = InstanceTable::new(DecisionLog::off());
+    let listed = makers.iter().map(|(id, zone)| instance(id, "encode", zone));
+    table.replace(&listed.collect::<Vec<_>>());
+    table
+}
+
+pub fn whole() -> Shard {
+    Shard::whole("encode")
+}
+
+/// A batcher that fills 85 in 100 of the makers' room.
+pub fn batcher() -> Batcher {
+    let policy = Policy {
+        room_share: 0.85,
+        ..Policy::default()
+    };
+    let mut batcher = Batcher::new(policy, DecisionLog::off());
+    batcher.set_specs([("encode".to_owned(), batch_spec())].into());
+    batcher
+}
+
+pub fn key(work: u64) -> OrderKey {
+    OrderKey {
+        node: "n1".into(),
+        work,
+    }
+}
+
+pub fn work(request: u64, pieces: u32) -> PhaseWork {
+    let piece = |index| Piece {
+        request: format!("r{request}"),
+        phase: 0,
+        index,
+        source: PieceSource::Key("k".into()),
+        result_bytes: 1_000,
+    };
+    PhaseWork {
+        shard: whole(),
+        pieces: (0..pieces).map(piece).collect(),
+        priority: 1,
+        zone: String::new(),
+        wanted_in_ms: 1_000,
+        remaining_ms: 4_000,
+    }
+}
+
+pub fn large_work(request: u64, pieces: u32, result_bytes: u64) -> PhaseWork {
+    let mut large = work(request, pieces);
+    let pieces = large.pieces.iter_mut();
+    pieces.for_each(|piece| piece.result_bytes = result_bytes);
+    large
+}
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A small traffic configuration and its back ends.
 #![allow(dead_code)]
 
+pub mod batches;
+
 use silversail_decisions::DecisionLog;
 use silversail_model::traffic::{
     BatchSpec, CallerLimits, EngineSpec, PhaseSpec, Route, RouteKind, RouteTarget, ServiceSpec,
