Test what becomes of an order on a zone at a node with an old state

An order that turns out to be outdated is proposed again while its operator waits, and not once the operator left: each case fails where the other's decision is taken. Bad zones are refused before anything is proposed.

--- a/crates/simulation/tests/evacuations.rs
+++ b/crates/simulation/tests/evacuations.rs
@@ -3,12 +3,14 @@
 
 use rstest::rstest;
 use silversail_control::{ControlCommand, EvacuationOrder};
+use silversail_daemon::evacuation::{EvacuationActor, EvacuationSetup, OrderCaller, ZoneOrder};
 use silversail_daemon::replica::ProposalOutcome;
-use silversail_model::NodeName;
+use silversail_decisions::DecisionLog;
+use silversail_model::{NodeName, ResultCode};
 use silversail_peer::GroupId;
 use silversail_simulation::world::{Knowledge, World, WorldSize};
-use stakker::{call, ret_some_do};
-use std::cell::Cell;
+use stakker::{actor, call, ret_nop, ret_some_do};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -136,3 +138,95 @@
     }
     assert_everywhere(&world, 0..SIZE.nodes, true, seed);
 }
+
+/// An operator's call at a node.
+struct Call {
+    is_waiting: bool,
+    answer: Rc<RefCell<Option<Result<u64, ResultCode>>>>,
+}
+
+impl OrderCaller for Call {
+    fn is_waiting(&self) -> bool {
+        self.is_waiting
+    }
+
+    fn answer(self: Box<Self>, result: Result<u64, ResultCode>) {
+        *self.answer.borrow_mut() = Some(result);
+    }
+}
+
+/// Sends an order to a node's actor, as its surfaces do, and runs until it is answered.
+fn call_node(
+    world: &mut World,
+    position: usize,
+    zone: &str,
+    evacuated: bool,
+    is_waiting: bool,
+) -> Option<Result<u64, ResultCode>> {
+    let answer = Rc::new(RefCell::new(None));
+    let told = answer.clone();
+    let node = world.places[position].node.as_mut().expect("runs");
+    let setup = EvacuationSetup {
+        zones: vec!["z".to_owned()],
+        state: node.state.clone(),
+        proposer: (*node.actors.control_proposer).clone(),
+        log: DecisionLog::off(),
+    };
+    let stakker = &mut node.stakker;
+    let actor = actor!(stakker, EvacuationActor::init(setup), ret_nop!());
+    let order = ZoneOrder {
+        zone: zone.to_owned(),
+        evacuated,
+    };
+    let caller = Box::new(Call {
+        is_waiting,
+        answer: told,
+    });
+    call!([actor], order(order, caller));
+    world.wake(position);
+    world.run_for(2_000);
+    let answered = *answer.borrow();
+    answered
+}
+
+/// A node that knows an old state: what it proposes first is outdated.
+fn with_a_node_that_knows_nothing(seed: u64) -> (World, usize) {
+    let mut world = World::new(seed, SIZE);
+    world.run_for(4_000);
+    let acknowledged = order(&mut world, 3, true, 0);
+    wait_for(&mut world, &acknowledged, seed);
+    world.run_for(IN_FORCE_WITHIN);
+    let position = SIZE.nodes - 1;
+    let node = world.places[position].node.as_ref().expect("runs");
+    node.state.borrow_mut().evacuations = None;
+    (world, position)
+}
+
+#[test]
+fn an_order_at_a_node_with_an_old_state_is_proposed_again_while_its_operator_waits() {
+    let (mut world, position) = with_a_node_that_knows_nothing(5);
+    let answer = call_node(&mut world, position, "z", false, true);
+    assert_eq!(answer, Some(Ok(2)));
+    world.run_for(IN_FORCE_WITHIN);
+    assert_everywhere(&world, 0..SIZE.nodes, false, 5);
+}
+
+/// The operator gave up here and went on elsewhere: the copy must not be the last word.
+#[test]
+fn an_order_whose_operator_left_is_not_proposed_again() {
+    let (mut world, position) = with_a_node_that_knows_nothing(5);
+    let answer = call_node(&mut world, position, "z", false, false);
+    assert_eq!(answer, Some(Err(ResultCode::NoLeader)));
+    world.run_for(IN_FORCE_WITHIN);
+    assert_everywhere(&world, 0..SIZE.nodes, true, 5);
+}
+
+#[rstest]
+#[case::unknown("hall", ResultCode::UnknownZone)]
+#[case::malformed("a zone", ResultCode::InvalidName)]
+fn a_bad_zone_is_refused_before_anything_is_proposed(#[case] zone: &str, #[case] code: ResultCode) {
+    let mut world = World::new(5, SIZE);
+    world.run_for(4_000);
+    let answer = call_node(&mut world, 4, zone, true, true);
+    assert_eq!(answer, Some(Err(code)));
+}
