Count arrivals of a second in a test without looking at all pairs

Cause: with the unlimited use of a cold back end asserted, 150,000 arrivals of 300 nodes were compared pair by pair: the test took 30.6 s.

Change: arrivals are in order, so each second is found by bisection.

--- a/crates/serving/tests/cold.rs
+++ b/crates/serving/tests/cold.rs
@@ -65,17 +65,12 @@
             }
         }
     }
-    let in_second = |begin: u64| {
-        let inside = arrivals
-            .iter()
-            .filter(|at| (begin..begin + 1_000).contains(*at));
-        inside.count()
+    // Arrivals are in order: those of a second are neighbours.
+    let in_second = |first: usize| {
+        let end = arrivals[first] + 1_000;
+        arrivals.partition_point(|at| *at < end) - first
     };
-    arrivals
-        .iter()
-        .map(|at| in_second(*at))
-        .max()
-        .unwrap_or_default()
+    (0..arrivals.len()).map(in_second).max().unwrap_or_default()
 }
 
 /// A cold back end alone, which all requests want. Without limits it gets all of them.
