Sight: what back ends say of themselves is read in one place and logged

Change: the head of an answer is decoded once into a typed report (load, rest, leaving) and told to one listener from requests, batch calls and calls that free results. Lines rest_began, rest_ended, leaving_told; a counter by kind and path. An answer of another engine than was meant says nothing of that one: its load was taken for the other's before.

Nothing is decided by rests and leaving yet.

--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -30,6 +30,7 @@
 use silversail_peer::{
     Envelope, GroupId, GroupMessage, ListedInstance, PeerMessage, SessionMessage,
 };
+use silversail_serving::notices::BackendNotices;
 use silversail_serving::ports::Protocols;
 use stakker::{call, fwd_to, ActorOwn, Fwd};
 use std::cell::RefCell;
@@ -75,6 +76,8 @@
     pub protocols: Protocols,
     /// Calls to back ends.
     pub calls: Box<dyn GatewayCalls>,
+    /// What back ends say of themselves, as the calls hear it.
+    pub notices: BackendNotices,
 }
 
 /// What differs between real and simulated nodes.
--- a/crates/daemon/src/actors/builder.rs
+++ b/crates/daemon/src/actors/builder.rs
@@ -313,6 +313,7 @@
             control,
             protocols: ports.protocols,
             calls: ports.calls,
+            notices: ports.notices,
             log: context.log.clone(),
             metrics: context.metrics.clone(),
             clock: context.clock,
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -27,6 +27,7 @@
 use silversail_quarantine::QuarantineRevision;
 use silversail_serving::batcher::{Batcher, CallId, CallOutcome, OrderKey};
 use silversail_serving::dispatcher::{Action, Dispatcher, RequestNumber};
+use silversail_serving::notices::BackendNotices;
 use silversail_serving::ports::Protocols;
 use silversail_serving::quarantine::RequestQuarantine;
 use silversail_serving::retry_budget::RetryLimits;
@@ -72,6 +73,8 @@
     pub protocols: Protocols,
     /// Calls to back ends.
     pub calls: Box<dyn GatewayCalls>,
+    /// What back ends say of themselves, as the calls hear it.
+    pub notices: BackendNotices,
     /// Decisions.
     pub log: DecisionLog,
     /// Counters.
@@ -206,6 +209,7 @@
         self.renew_rollout_permit(now);
         self.tell_evidence_if_due(now);
         self.admit_early(now);
+        self.setup.notices.log_ended_rests(now);
         let expired = self.dispatcher.expire(now);
         self.carry_out(expired, now);
         let late = self.batcher.expire(now);
--- a/crates/daemon/src/gateway/batching.rs
+++ b/crates/daemon/src/gateway/batching.rs
@@ -2,6 +2,7 @@
 //! orders that it batches for others.
 
 use crate::gateway::actor::GatewayActor;
+use crate::gateway::calls::CalledBackend;
 use crate::gateway::owners::OwnerStep;
 use crate::gateway::works::Answered;
 use silversail_consensus::Millis;
@@ -386,11 +387,13 @@
         }
         for (address, handles) in by_maker {
             // An address that has another back end now must not be asked.
-            if self.dispatcher.instances.at_address(&address).is_none() {
+            let Some(maker) = self.dispatcher.instances.at_address(&address) else {
                 continue;
-            }
+            };
+            let instance = maker.listed.id.clone();
             let request = self.setup.protocols.batches.free_call(&handles);
-            self.setup.calls.free(address, handles, request);
+            let at = CalledBackend { instance, address };
+            self.setup.calls.free(at, handles, request);
         }
     }
 }
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -3,6 +3,7 @@
 
 use crate::event::{Event, EventSender};
 use crate::gateway::event::GatewayEvent;
+use crate::gateway::notices::NoticeListener;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use silversail_http::ConnectionPool;
@@ -10,6 +11,8 @@
 use silversail_peer::ResultHandle;
 use silversail_serving::batcher::{BatchCall, CallOutcome};
 use silversail_serving::crashes::{Probe, ProbeAnswer};
+use silversail_serving::instances::InstanceId;
+use silversail_serving::notices::AnswerPath;
 use silversail_serving::ports::{BackendCall, Protocols};
 use std::io;
 use std::sync::Arc;
@@ -31,8 +34,8 @@
     /// Makes a batch call.
     fn run_batch(&self, batch: BatchCall, request: BackendCall);
 
-    /// Frees results at the back end at `address`; told when they are freed.
-    fn free(&self, address: String, handles: Vec<ResultHandle>, request: BackendCall);
+    /// Frees results at a back end; told when they are freed.
+    fn free(&self, at: CalledBackend, handles: Vec<ResultHandle>, request: BackendCall);
 
     /// Tries to connect to a back end, without a request.
     fn probe(&self, probe: Probe);
@@ -44,6 +47,42 @@
     fn set_list_reader(&self, reads: bool);
 }
 
+/// The back end that a call goes to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CalledBackend {
+    /// Its identity.
+    pub instance: InstanceId,
+    /// Its address.
+    pub address: String,
+}
+
+/// What a call of the gateway's own goes to.
+pub enum CallTarget<'a> {
+    /// The source of the list of back ends.
+    ListSource {
+        /// Its address.
+        address: &'a str,
+    },
+    /// A back end.
+    Backend {
+        /// Its address.
+        address: &'a str,
+        /// Its identity.
+        instance: &'a str,
+        /// What is asked of it.
+        path: AnswerPath,
+    },
+}
+
+impl CallTarget<'_> {
+    /// The address.
+    fn address(&self) -> &str {
+        match self {
+            CallTarget::ListSource { address } | CallTarget::Backend { address, .. } => address,
+        }
+    }
+}
+
 /// What an answered call gave.
 pub struct CallAnswer {
     /// Status.
@@ -74,6 +113,8 @@
     pub pool: ConnectionPool,
     /// The outside protocols.
     pub protocols: Protocols,
+    /// Takes what back ends say of themselves.
+    pub listener: NoticeListener,
     /// Where ends of calls are told.
     pub events: EventSender,
     /// Where limits on callers go.
@@ -86,18 +127,28 @@
     fn run_batch(&self, batch: BatchCall, request: BackendCall) {
         let calls = self.clone();
         self.runtime.spawn(async move {
-            let answer = calls.call(&batch.address, request, BATCH_TIMEOUT).await;
+            let target = CallTarget::Backend {
+                address: &batch.address,
+                instance: &batch.instance,
+                path: AnswerPath::Batch,
+            };
+            let answer = calls.call(&target, request, BATCH_TIMEOUT).await;
             let outcome = calls.batch_outcome(answer, batch.pieces.len());
             let call = batch.call;
             calls.tell(GatewayEvent::BatchEnded { call, outcome });
         });
     }
 
-    fn free(&self, address: String, handles: Vec<ResultHandle>, request: BackendCall) {
+    fn free(&self, at: CalledBackend, handles: Vec<ResultHandle>, request: BackendCall) {
         let calls = self.clone();
         self.runtime.spawn(async move {
+            let target = CallTarget::Backend {
+                address: &at.address,
+                instance: &at.instance,
+                path: AnswerPath::Free,
+            };
             // Results that are not freed end by themselves.
-            let answer = calls.call(&address, request, CALL_TIMEOUT).await;
+            let answer = calls.call(&target, request, CALL_TIMEOUT).await;
             if answer.is_ok_and(|answer| answer.status == 200) {
                 calls.tell(GatewayEvent::ResultsFreed { handles });
             }
@@ -156,18 +207,23 @@
     /// Makes a call and reads its whole answer.
     pub async fn call(
         &self,
-        address: &str,
+        target: &CallTarget<'_>,
         call: BackendCall,
         longest: Duration,
     ) -> Result<CallAnswer, CallError> {
-        let exchanged = timeout(longest, self.exchange(address, call)).await;
+        let exchanged = timeout(longest, self.exchange(target, call)).await;
         exchanged.unwrap_or_else(|_| {
-            self.pool.discard_idle(address);
+            self.pool.discard_idle(target.address());
             Err(CallError::NoAnswer("time over".into()))
         })
     }
 
-    async fn exchange(&self, address: &str, call: BackendCall) -> Result<CallAnswer, CallError> {
+    async fn exchange(
+        &self,
+        target: &CallTarget<'_>,
+        call: BackendCall,
+    ) -> Result<CallAnswer, CallError> {
+        let address = target.address();
         let not_sent = |error: std::io::Error| CallError::NotSent(error.to_string());
         let mut connection = match self.pool.take_idle(address) {
             Some(connection) => connection,
@@ -193,6 +249,9 @@
             .protocols
             .requests
             .read_answer(status, response.headers(), "");
+        if let CallTarget::Backend { instance, path, .. } = target {
+            self.listener.heard(instance, *path, &head.report);
+        }
         let body = Limited::new(response.into_body(), MAX_ANSWER);
         let body = body
             .collect()
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::{self, Clock};
 use crate::gateway::calls::CONNECT_TIMEOUT;
+use crate::gateway::notices::NoticeListener;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::Incoming;
@@ -14,6 +15,7 @@
     Connection, ConnectionPool, IncomingRequest, OutgoingBody, RelayBody, RelayEnd, SendError,
 };
 use silversail_serving::dispatcher::{NotRunReason, SendOutcome, SendPlan, UnknownReason};
+use silversail_serving::notices::AnswerPath;
 use silversail_serving::ports::{AnswerHead, Protocols, ReportedLoad};
 use std::time::{Duration, Instant};
 use tokio::time::{timeout, timeout_at};
@@ -61,6 +63,8 @@
     pub protocols: Protocols,
     /// Time.
     pub clock: Clock,
+    /// Takes what back ends say of themselves.
+    pub listener: NoticeListener,
 }
 
 /// What a stream's relay tells, once it began.
@@ -113,12 +117,14 @@
             .protocols
             .requests
             .read_answer(status, response.headers(), id);
+        let path = AnswerPath::Request;
+        self.listener.heard(&plan.instance, path, &head.report);
         if head.not_run {
             let reason = not_run_reason(status);
             keep_after_refusal(connection, response.into_body()).await;
             return Err(Ended {
                 outcome: SendOutcome::NotRun(reason),
-                load: head.load,
+                load: head.report.load,
             });
         }
         if !is_sound(status, &head) {
@@ -128,7 +134,7 @@
             keep_after_refusal(connection, response.into_body()).await;
             return Err(Ended {
                 outcome: SendOutcome::Failed { status },
-                load: head.load,
+                load: head.report.load,
             });
         }
         let is_long = content_length(response.headers()).is_some_and(|length| length > MAX_WHOLE);
@@ -253,7 +259,7 @@
     let (mut parts, body) = response.into_parts();
     let status = parts.status.as_u16();
     strip_connection_headers(&mut parts.headers);
-    (watch.on_head)(head.load);
+    (watch.on_head)(head.report.load);
     let on_end = watch.on_end;
     let body = RelayBody::new(body, connection, end, move |end| on_end(status, end));
     SendResult {
@@ -261,7 +267,7 @@
             status,
             is_whole: true,
         },
-        load: head.load,
+        load: head.report.load,
         answer: Some(Response::from_parts(parts, Either::Right(body))),
     }
 }
@@ -276,7 +282,7 @@
     let Ok(body) = collected else {
         return Err(Ended {
             outcome: SendOutcome::Unknown(UnknownReason::Broken),
-            load: head.load,
+            load: head.report.load,
         });
     };
     connection.keep();
@@ -288,7 +294,7 @@
     let body = Either::Left(Full::new(body.to_bytes()));
     Ok(SendResult {
         outcome,
-        load: head.load,
+        load: head.report.load,
         answer: Some(Response::from_parts(parts, body)),
     })
 }
--- a/crates/daemon/src/gateway/list_reading.rs
+++ b/crates/daemon/src/gateway/list_reading.rs
@@ -1,6 +1,6 @@
 //! Reads the list of back ends, page by page, while this node is its reader.
 
-use crate::gateway::calls::{CallError, RuntimeCalls};
+use crate::gateway::calls::{CallError, CallTarget, RuntimeCalls};
 use crate::gateway::event::{GatewayEvent, ListRead};
 use crate::settings::GatewaySettings;
 use silversail_serving::ports::{ListPage, ListedInstance};
@@ -118,7 +118,8 @@
 
     async fn ask_page(&self, address: &str, page: Option<&str>) -> PageAnswer {
         let call = self.protocols.list.list_call(page);
-        match self.call(address, call, PAGE_TIMEOUT).await {
+        let source = CallTarget::ListSource { address };
+        match self.call(&source, call, PAGE_TIMEOUT).await {
             Ok(answer) if answer.status == 200 => {
                 match self.protocols.list.read_list(&answer.body) {
                     Some(page) => PageAnswer::Page(page),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod following;
 pub mod list_reader;
 mod list_reading;
+pub mod notices;
 pub mod owners;
 mod placing;
 pub mod runtime;
--- /dev/null
+++ b/crates/daemon/src/gateway/notices.rs
@@ -0,0 +1,37 @@
+//! Where every path that reads an answer's head tells what the back end says of itself.
+
+use crate::clock::{self, Clock};
+use crate::metrics::Metrics;
+use silversail_serving::notices::{AnswerPath, BackendNotices};
+use silversail_serving::ports::SelfReport;
+use std::sync::Arc;
+
+/// Takes what back ends say of themselves, at the moment at which it is read.
+#[derive(Clone)]
+pub struct NoticeListener {
+    /// What they said.
+    pub notices: BackendNotices,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Time.
+    pub clock: Clock,
+}
+
+impl NoticeListener {
+    /// A back end said something of itself in an answer.
+    pub fn heard(&self, instance: &str, path: AnswerPath, said: &SelfReport) {
+        let now = self.clock.millis(clock::now());
+        let news = self.notices.hear(instance, path, said, now);
+        let counted = &self.metrics.backend_notices;
+        let count = |kind| counted.with_label_values(&[kind, path.name()]).inc();
+        if said.has_unreadable_rest {
+            count("unreadable_rest");
+        }
+        if news.is_longer_rest {
+            count("rest");
+        }
+        if news.is_leaving {
+            count("leaving");
+        }
+    }
+}
--- a/crates/daemon/src/gateway/runtime.rs
+++ b/crates/daemon/src/gateway/runtime.rs
@@ -1,10 +1,10 @@
 //! The gateway's runtime: its servers and its calls.
 
-use crate::clock::Clock;
 use crate::event::EventSender;
 use crate::gateway::callers::CallerService;
 use crate::gateway::calls::RuntimeCalls;
 use crate::gateway::exchange::Exchanger;
+use crate::gateway::notices::NoticeListener;
 use crate::gateway::surface::SurfaceService;
 use crate::settings::GatewaySettings;
 use silversail_http::{serve, AsyncService, ConnectionPool};
@@ -29,7 +29,7 @@
         settings: &GatewaySettings,
         protocols: &Protocols,
         events: &EventSender,
-        clock: Clock,
+        listener: NoticeListener,
     ) -> io::Result<Self> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
@@ -43,6 +43,7 @@
             runtime: runtime.handle().clone(),
             pool: ConnectionPool::new(),
             protocols: protocols.clone(),
+            listener: listener.clone(),
             events: events.clone(),
             limits: Arc::new(limits),
             reads_list: Arc::new(watch::channel(false).0),
@@ -52,7 +53,8 @@
             exchanger: Exchanger {
                 pool: calls.pool.clone(),
                 protocols: protocols.clone(),
-                clock,
+                clock: listener.clock,
+                listener,
             },
             next_number: Arc::new(AtomicU64::new(1)),
             limits: limits_seen,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -39,6 +39,8 @@
     pub version_failures: IntCounterVec,
     /// Requests that broke off at back ends, by service and cause.
     pub broken_connections: IntCounterVec,
+    /// Rests and leaving that back ends told of in answers, by kind and what was answered.
+    pub backend_notices: IntCounterVec,
     /// Times that the machine was suspended.
     pub suspensions: IntCounter,
     /// Requests that are refused as they crash back ends, those watched, and, on voters, suspects.
@@ -217,6 +219,11 @@
                 "Requests and batch calls that broke off at back ends",
                 &["service", "cause"],
             ),
+            backend_notices: counter(
+                "silversail_backend_notices_total",
+                "Rests and leaving that back ends told of in answers",
+                &["kind", "path"],
+            ),
             quarantine: gauges(
                 "silversail_quarantined_requests",
                 "Requests that crash back ends",
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -6,6 +6,7 @@
 use crate::clock::{self, wall_clock_ms, Clock, SuspensionWatch};
 use crate::event::{Event, EventSender};
 use crate::gateway::calls::RuntimeCalls;
+use crate::gateway::notices::NoticeListener;
 use crate::gateway::runtime::GatewayRuntime;
 use crate::metrics::Metrics;
 use crate::outbox::{Outbox, SharedOutbox};
@@ -21,6 +22,7 @@
 use silversail_http::{HttpServer, HttpServerConfig};
 use silversail_model::{ResultCode, Topology};
 use silversail_peer::{Envelope, GroupId, NngTransport};
+use silversail_serving::notices::BackendNotices;
 use silversail_serving::ports::Protocols;
 use silversail_storage::write_queue::WriteNotice;
 use silversail_storage::{FolderLock, ReplicaStore, WriteQueue};
@@ -57,8 +59,17 @@
     let log = parts.log;
     let outbox = open_outbox(&settings, topology.clone(), &events, &metrics, incarnation)?;
     let agents = Agents::new();
+    let notices = BackendNotices::new(log.clone());
     let gateway = match &settings.gateway {
-        Some(gateway) => Some(start_gateway(gateway, &parts.protocols, &events, clock)?),
+        Some(gateway) => {
+            let listener = NoticeListener {
+                notices: notices.clone(),
+                metrics: metrics.clone(),
+                clock,
+            };
+            let started = start_gateway(gateway, &parts.protocols, &events, listener)?;
+            Some(started)
+        }
         None => None,
     };
     let mut platform = ProcessPlatform {
@@ -67,6 +78,7 @@
         calls: CallRunner::new(agents.clone(), events.clone()),
         gateway: gateway.as_ref().map(|gateway| gateway.calls()),
         protocols: parts.protocols,
+        notices,
     };
     let mut stakker = Stakker::new(now);
     let state = SharedNodeState::default();
@@ -122,6 +134,7 @@
     calls: CallRunner,
     gateway: Option<RuntimeCalls>,
     protocols: Protocols,
+    notices: BackendNotices,
 }
 
 impl Platform for ProcessPlatform {
@@ -165,6 +178,7 @@
         Some(GatewayPorts {
             protocols: self.protocols.clone(),
             calls: Box::new(self.gateway.clone()?),
+            notices: self.notices.clone(),
         })
     }
 }
@@ -173,9 +187,9 @@
     settings: &GatewaySettings,
     protocols: &Protocols,
     events: &EventSender,
-    clock: Clock,
+    listener: NoticeListener,
 ) -> Result<GatewayRuntime, NodeError> {
-    GatewayRuntime::start(settings, protocols, events, clock).map_err(|error| {
+    GatewayRuntime::start(settings, protocols, events, listener).map_err(|error| {
         let message = format!("gateway {}: {error}", settings.callers);
         NodeError::new(ResultCode::AddressInUse, message)
     })
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -190,6 +190,27 @@
         /// Version of its software; empty where the list does not tell.
         version: String,
     },
+    /// A back end that turned a request away asked this node to send nothing for a while.
+    RestBegan {
+        /// The back end.
+        backend: String,
+        /// For how long.
+        for_ms: u64,
+        /// What was answered: `request`, `batch`, `free` or `stage`.
+        path: String,
+    },
+    /// A back end's rest is over.
+    RestEnded {
+        /// The back end.
+        backend: String,
+    },
+    /// A back end said in an answer that it leaves.
+    LeavingTold {
+        /// The back end.
+        backend: String,
+        /// What was answered, as in `rest_began`.
+        path: String,
+    },
     /// Other entries of the list of back ends than before name none; told by the node that read it.
     ListEntriesLeftOut {
         /// Why, each with how many; none where all name one again.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`ports`]: what the outside protocols are translated to and from
 //! - [`routes`]: which route a request takes, and whose it is
 //! - [`instances`]: the back ends and what is believed of them
+//! - [`notices`]: what back ends said of themselves in their answers
 //! - [`cold`]: what back ends get that have just started
 //! - [`crashes`]: which of them crashed, by connections that broke off
 //! - [`quarantine`]: which requests are not sent, as they crash back ends
@@ -22,6 +23,7 @@
 pub mod crashes;
 pub mod dispatcher;
 pub mod instances;
+pub mod notices;
 pub mod policy;
 pub mod popularity;
 pub mod ports;
--- /dev/null
+++ b/crates/serving/src/notices.rs
@@ -0,0 +1,188 @@
+//! What back ends said of themselves in their answers: that they want rest, or that they leave.
+//!
+//! It is kept apart from the list of back ends, which lags by seconds and is read by another node:
+//! no list takes it back, nor does an answer that does not say it again. A rest ends by its time
+//! only, leaving by a later start of the back end, which has an identity of its own. The threads
+//! that read answers write here before anything else is sent.
+
+use crate::instances::InstanceId;
+use crate::ports::SelfReport;
+use crate::Millis;
+use silversail_decisions::{DecisionLog, Event};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// For how long what a back end said is kept once no list names it, in milliseconds: a list that
+/// lacks it for a while must not make it a back end of which nothing is known. Ten minutes are
+/// far more than back ends take to leave, and a back end takes some 200 bytes.
+const KEPT_UNLISTED_FOR: Millis = 600_000;
+
+/// The kind of exchange in which a back end said something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerPath {
+    /// The answer to a caller's request.
+    Request,
+    /// The answer to a batch call.
+    Batch,
+    /// The answer to a call that frees results.
+    Free,
+    /// The answer to a stage of a pipeline.
+    Stage,
+}
+
+impl AnswerPath {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            AnswerPath::Request => "request",
+            AnswerPath::Batch => "batch",
+            AnswerPath::Free => "free",
+            AnswerPath::Stage => "stage",
+        }
+    }
+}
+
+/// What was new in what a back end said of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    /// It asked for a rest that ends later than any before.
+    pub is_longer_rest: bool,
+    /// It said for the first time that it leaves.
+    pub is_leaving: bool,
+}
+
+/// What one back end said of itself. Read without a lock.
+#[derive(Debug, Default)]
+pub struct Notice {
+    rest_until: AtomicU64,
+    is_leaving: AtomicBool,
+}
+
+impl Notice {
+    /// When its rest ends; in the past where it wants none.
+    pub fn rest_until(&self) -> Millis {
+        self.rest_until.load(Ordering::Acquire)
+    }
+
+    /// Whether it wants nothing at `now`.
+    pub fn is_resting(&self, now: Millis) -> bool {
+        now < self.rest_until()
+    }
+
+    /// Whether it said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+}
+
+struct Entry {
+    notice: Arc<Notice>,
+    /// Since when no list names it.
+    unlisted_since: Option<Millis>,
+    /// Whether the log has the beginning of a rest and not its end.
+    rest_is_logged: bool,
+}
+
+/// What all back ends said; clones share it.
+#[derive(Clone)]
+pub struct BackendNotices {
+    entries: Arc<Mutex<BTreeMap<InstanceId, Entry>>>,
+    log: DecisionLog,
+}
+
+impl BackendNotices {
+    /// Nothing was said yet.
+    pub fn new(log: DecisionLog) -> Self {
+        Self {
+            entries: Arc::default(),
+            log,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Entry>> {
+        // What is written under the lock is whole after each step, also where a thread ended.
+        self.entries
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// What a back end says of itself, as it comes.
+    pub fn of(&self, id: &str) -> Arc<Notice> {
+        entry(&mut self.lock(), id).notice.clone()
+    }
+
+    /// Takes in what a back end said of itself at `now`. Of two rests the later end holds.
+    pub fn hear(&self, id: &str, path: AnswerPath, said: &SelfReport, now: Millis) -> News {
+        if said.rest.is_none() && !said.is_leaving {
+            return News::default();
+        }
+        let mut entries = self.lock();
+        let entry = entry(&mut entries, id);
+        let mut news = News::default();
+        if let Some(rest) = said.rest {
+            let length = whole_millis(rest);
+            let until = now.saturating_add(length);
+            news.is_longer_rest =
+                entry.notice.rest_until.fetch_max(until, Ordering::AcqRel) < until;
+            if news.is_longer_rest {
+                entry.rest_is_logged = true;
+                self.log.record(Event::RestBegan {
+                    backend: id.to_owned(),
+                    for_ms: length,
+                    path: path.name().to_owned(),
+                });
+            }
+        }
+        if said.is_leaving {
+            news.is_leaving = !entry.notice.is_leaving.swap(true, Ordering::AcqRel);
+            if news.is_leaving {
+                self.log.record(Event::LeavingTold {
+                    backend: id.to_owned(),
+                    path: path.name().to_owned(),
+                });
+            }
+        }
+        news
+    }
+
+    /// Tells the log which rests are over.
+    pub fn log_ended_rests(&self, now: Millis) {
+        for (id, entry) in self.lock().iter_mut() {
+            if entry.rest_is_logged && !entry.notice.is_resting(now) {
+                entry.rest_is_logged = false;
+                self.log.record(Event::RestEnded {
+                    backend: id.clone(),
+                });
+            }
+        }
+    }
+
+    /// Takes which back ends the list names now; forgets those long gone.
+    pub fn set_listed(&self, listed: &BTreeSet<&str>, now: Millis) {
+        self.lock().retain(|id, entry| {
+            if listed.contains(id.as_str()) {
+                entry.unlisted_since = None;
+                return true;
+            }
+            let since = *entry.unlisted_since.get_or_insert(now);
+            let has_said = entry.notice.is_leaving() || entry.notice.is_resting(now);
+            has_said && now.saturating_sub(since) < KEPT_UNLISTED_FOR
+        });
+    }
+}
+
+fn entry<'a>(entries: &'a mut BTreeMap<InstanceId, Entry>, id: &str) -> &'a mut Entry {
+    entries.entry(id.to_owned()).or_insert_with(|| Entry {
+        notice: Arc::default(),
+        unlisted_since: None,
+        rest_is_logged: false,
+    })
+}
+
+/// A length in milliseconds, rounded up.
+fn whole_millis(length: Duration) -> Millis {
+    let millis = length.as_nanos().div_ceil(1_000_000);
+    Millis::try_from(millis).unwrap_or(Millis::MAX)
+}
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -84,6 +84,20 @@
     pub slots: u32,
 }
 
+/// What a back end says of itself in the head of an answer, whatever the answer is to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SelfReport {
+    /// Its load, where told.
+    pub load: Option<ReportedLoad>,
+    /// How long it wants nothing from this node, where it turns a request away and says so; the
+    /// longest where it names several.
+    pub rest: Option<Duration>,
+    /// Whether it names a rest that can't be read.
+    pub has_unreadable_rest: bool,
+    /// Whether it says that it leaves and takes nothing new.
+    pub is_leaving: bool,
+}
+
 /// What the head of an engine's answer says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AnswerHead {
@@ -93,8 +107,8 @@
     pub not_run: bool,
     /// Whether it bears the engine's signature.
     pub is_signed: bool,
-    /// Load, where told.
-    pub load: Option<ReportedLoad>,
+    /// What the engine says of itself; nothing where another one than was meant answers.
+    pub report: SelfReport,
 }
 
 /// Translates callers' requests and engines' answers.
--- /dev/null
+++ b/crates/serving/tests/notices.rs
@@ -0,0 +1,105 @@
+//! What back ends said of themselves: what is kept, for how long, and what takes it back.
+
+use rstest::rstest;
+use silversail_decisions::DecisionLog;
+use silversail_serving::notices::{AnswerPath, BackendNotices, News};
+use silversail_serving::ports::SelfReport;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+fn notices() -> BackendNotices {
+    BackendNotices::new(DecisionLog::off())
+}
+
+fn rest(millis: u64) -> SelfReport {
+    SelfReport {
+        rest: Some(Duration::from_millis(millis)),
+        ..SelfReport::default()
+    }
+}
+
+fn leaving() -> SelfReport {
+    SelfReport {
+        is_leaving: true,
+        ..SelfReport::default()
+    }
+}
+
+#[rstest]
+#[case::a_later_end(2_000, 5_500, true)]
+#[case::an_earlier_end(500, 4_000, false)]
+fn of_two_rests_the_later_end_holds(
+    #[case] second: u64,
+    #[case] until: u64,
+    #[case] is_longer: bool,
+) {
+    let notices = notices();
+    notices.hear("e1", AnswerPath::Request, &rest(3_000), 1_000);
+    let news = notices.hear("e1", AnswerPath::Batch, &rest(second), 3_500);
+    assert_eq!(news.is_longer_rest, is_longer);
+    let notice = notices.of("e1");
+    assert!(notice.is_resting(until - 1));
+    assert!(!notice.is_resting(until));
+    assert!(!notices.of("e2").is_resting(1_000));
+}
+
+#[test]
+fn an_answer_that_says_nothing_takes_nothing_back() {
+    let notices = notices();
+    notices.hear("e1", AnswerPath::Request, &rest(3_000), 1_000);
+    notices.hear("e1", AnswerPath::Request, &leaving(), 1_000);
+    let nothing = SelfReport::default();
+    let news = notices.hear("e1", AnswerPath::Request, &nothing, 1_500);
+    assert_eq!(news, News::default());
+    assert!(notices.of("e1").is_resting(3_999));
+    assert!(notices.of("e1").is_leaving());
+    let again = notices.hear("e1", AnswerPath::Free, &leaving(), 1_600);
+    assert!(!again.is_leaving, "told once");
+}
+
+#[test]
+fn a_rest_without_end_does_not_overflow() {
+    let notices = notices();
+    notices.hear("e1", AnswerPath::Request, &rest(u64::MAX), 1_000);
+    let longest = SelfReport {
+        rest: Some(Duration::MAX),
+        ..SelfReport::default()
+    };
+    notices.hear("e2", AnswerPath::Request, &longest, 1_000);
+    for id in ["e1", "e2"] {
+        assert!(notices.of(id).is_resting(u64::MAX - 1), "{id}");
+    }
+}
+
+#[test]
+fn a_part_of_a_millisecond_is_rounded_up() {
+    let notices = notices();
+    let said = SelfReport {
+        rest: Some(Duration::from_micros(1_200)),
+        ..SelfReport::default()
+    };
+    notices.hear("e1", AnswerPath::Request, &said, 1_000);
+    assert_eq!(notices.of("e1").rest_until(), 1_002);
+}
+
+#[test]
+fn lists_that_lack_a_back_end_for_a_while_make_nothing_forgotten() {
+    let notices = notices();
+    notices.hear("e1", AnswerPath::Request, &leaving(), 1_000);
+    notices.hear("e2", AnswerPath::Request, &rest(3_000), 1_000);
+    notices.of("e3");
+    notices.set_listed(&BTreeSet::new(), 2_000);
+    notices.set_listed(&BTreeSet::from(["e1", "e2", "e3"]), 3_000);
+    assert!(notices.of("e1").is_leaving());
+    assert!(notices.of("e2").is_resting(3_999));
+}
+
+#[test]
+fn what_long_gone_back_ends_said_is_forgotten() {
+    const LONG: u64 = 3_600_000;
+    let notices = notices();
+    notices.hear("e1", AnswerPath::Request, &leaving(), 1_000);
+    notices.set_listed(&BTreeSet::new(), 2_000);
+    notices.set_listed(&BTreeSet::new(), LONG);
+    assert!(!notices.of("e1").is_leaving());
+}
