Rests and leaving that engines tell in answers are obeyed on every path of the gateway

A 503 was "full" whatever else it said, passed over for 150 ms; then the engine, which told that nothing ran there, was chosen before all others.

Change: rests and leaving are kept apart from the list, by the identity of an engine's start, in a book that the threads reading answers write at the head and that every choice reads without a lock. No list, no later answer takes them back; the later end of two rests holds. Asked directly before bytes leave, after a connection was waited for too: a send withheld then is chosen anew and costs neither a retry nor a send. Last resorts leave out engines that rest. Where all rest, a request waits for the first that is back in time, as many as the engines run at once; else it is refused at once with 2115 and the time at which one is back. Batches: makers at rest are no capacity in estimates, orders that none takes in time end at once, frees wait. After a rest one request goes first. What an answer of 421 says lasts 10 s instead of until the next list. A request that may have run ends with no code that says it did not.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -9,6 +9,7 @@
 use crate::gateway::early::{EarlyRequest, EarlyRequests};
 use crate::gateway::event::{Decision, GatewayEvent};
 use crate::gateway::following::OwnListReads;
+use crate::gateway::frees::DelayedFrees;
 use crate::gateway::owners::OwnerWatch;
 use crate::gateway::waiting::WaitingOrders;
 use crate::gateway::works::Works;
@@ -110,6 +111,8 @@
     pub(super) owners: BTreeMap<Shard, NodeName>,
     /// Nodes that were told of orders of this node that are still to come.
     pub(super) announced_to: BTreeMap<WorkId, NodeName>,
+    /// Results whose makers rest.
+    pub(super) delayed_frees: DelayedFrees,
     pub(super) told_waits_at: Millis,
     pub(super) told_far_waits_at: Millis,
     /// How long the shards of this node took when they were last looked at.
@@ -154,7 +157,9 @@
         let policy = setup.settings.policy;
         after!(IDLE_TICK, [cx], tick());
         let topology = setup.topology.clone();
-        let mut dispatcher = Dispatcher::new(topology, limits, policy, first_work, log.clone());
+        let notices = setup.notices.clone();
+        let dispatcher = Dispatcher::new(topology, limits, policy, first_work, log.clone());
+        let mut dispatcher = dispatcher.with_notices(notices);
         dispatcher.quarantine = RequestQuarantine::new(setup.quarantine);
         Some(Self {
             node,
@@ -168,6 +173,7 @@
             open: BTreeMap::new(),
             owners: BTreeMap::new(),
             announced_to: BTreeMap::new(),
+            delayed_frees: DelayedFrees::default(),
             told_waits_at: 0,
             told_far_waits_at: 0,
             own_waits: BTreeMap::new(),
@@ -212,10 +218,15 @@
         self.setup.notices.log_ended_rests(now);
         let expired = self.dispatcher.expire(now);
         self.carry_out(expired, now);
+        let waiting = self.dispatcher.send_waiting(now);
+        self.carry_out(waiting, now);
         let late = self.batcher.expire(now);
         self.orders_finished(late, now);
         let unstaffed = self.batcher.end_unstaffed(&self.dispatcher.instances);
         self.orders_finished(unstaffed, now);
+        let instances = &self.dispatcher.instances;
+        let too_late = self.batcher.end_late_by_rests(instances, now);
+        self.orders_finished(too_late, now);
         self.choose_list_reader(now);
         self.tell_inputs_read(now);
         self.tell_waits(now);
@@ -223,7 +234,8 @@
         self.resubmit(now);
         self.place_waiting(now);
         self.start_batches(now);
-        self.free_results();
+        self.free_delayed_results(now);
+        self.free_results(now);
     }
 
     /// Something that a task of the gateway tells.
@@ -276,7 +288,7 @@
             GatewayEvent::Surface { request, reply } => self.surface(cx, request, reply, now),
         }
         self.start_batches(now);
-        self.free_results();
+        self.free_results(now);
         // Orders of other nodes count too: a stop must not leave them behind.
         let open = self.dispatcher.open_requests() + self.batcher.sizes().0;
         let metrics = &self.setup.metrics;
--- a/crates/daemon/src/gateway/batching.rs
+++ b/crates/daemon/src/gateway/batching.rs
@@ -2,7 +2,6 @@
 //! orders that it batches for others.
 
 use crate::gateway::actor::GatewayActor;
-use crate::gateway::calls::CalledBackend;
 use crate::gateway::owners::OwnerStep;
 use crate::gateway::works::Answered;
 use silversail_consensus::Millis;
@@ -14,7 +13,6 @@
 use silversail_serving::instances::InstanceTable;
 use silversail_serving::waits::OrderToPlace;
 use stakker::CX;
-use std::collections::BTreeMap;
 
 impl GatewayActor {
     /// Passes over batching nodes that owe an answer and give no sign.
@@ -270,7 +268,7 @@
             WorkMessage::Release { handles } => self.batcher.release(&handles),
         }
         self.start_batches(now);
-        self.free_results();
+        self.free_results(now);
     }
 
     /// Gives an order that found no maker in its zone's shard to another shard. False where
@@ -378,24 +376,6 @@
             self.setup.calls.run_batch(call, request);
         }
     }
-
-    pub(super) fn free_results(&mut self) {
-        let mut by_maker: BTreeMap<String, Vec<ResultHandle>> = BTreeMap::new();
-        for handle in self.batcher.take_releases() {
-            let address = self.setup.protocols.batches.maker_address(&handle);
-            by_maker.entry(address.to_owned()).or_default().push(handle);
-        }
-        for (address, handles) in by_maker {
-            // An address that has another back end now must not be asked.
-            let Some(maker) = self.dispatcher.instances.at_address(&address) else {
-                continue;
-            };
-            let instance = maker.listed.id.clone();
-            let request = self.setup.protocols.batches.free_call(&handles);
-            let at = CalledBackend { instance, address };
-            self.setup.calls.free(at, handles, request);
-        }
-    }
 }
 
 /// Whether this node can batch for a shard: it has a configuration and a list that
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -12,7 +12,7 @@
 use silversail_serving::batcher::{BatchCall, CallOutcome};
 use silversail_serving::crashes::{Probe, ProbeAnswer};
 use silversail_serving::instances::InstanceId;
-use silversail_serving::notices::AnswerPath;
+use silversail_serving::notices::{AnswerPath, Withheld};
 use silversail_serving::ports::{BackendCall, Protocols};
 use std::io;
 use std::sync::Arc;
@@ -99,6 +99,9 @@
     /// Nothing was sent.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// Nothing was sent, as the back end rests or leaves by its own word.
+    #[error("withheld: the back end is {}", .0.name())]
+    Withheld(Withheld),
     /// It may have run.
     #[error("no answer: {0}")]
     NoAnswer(String),
@@ -200,6 +203,7 @@
                 }
             }
             Err(CallError::NotSent(_)) => CallOutcome::Unreachable,
+            Err(CallError::Withheld(_)) => CallOutcome::Withheld,
             Ok(_) | Err(CallError::NoAnswer(_)) => CallOutcome::Unknown,
         }
     }
@@ -218,6 +222,15 @@
         })
     }
 
+    /// Whether a back end still takes what is to be sent, by its own word.
+    fn check(&self, target: &CallTarget<'_>) -> Result<(), CallError> {
+        let withheld = match target {
+            CallTarget::ListSource { .. } => None,
+            CallTarget::Backend { instance, path, .. } => self.listener.withheld(instance, *path),
+        };
+        withheld.map_or(Ok(()), |reason| Err(CallError::Withheld(reason)))
+    }
+
     async fn exchange(
         &self,
         target: &CallTarget<'_>,
@@ -232,12 +245,20 @@
                 connecting.await.map_err(not_sent)?
             }
         };
+        if let Err(withheld) = self.check(target) {
+            connection.keep();
+            return Err(withheld);
+        }
         let request = build(address, &call);
         let response = match connection.send(request).await {
             Ok(response) => response,
             Err(silversail_http::SendError::NotSent(_)) => {
                 let connecting = self.pool.connect(address, CONNECT_TIMEOUT);
                 connection = connecting.await.map_err(not_sent)?;
+                if let Err(withheld) = self.check(target) {
+                    connection.keep();
+                    return Err(withheld);
+                }
                 let again = connection.send(build(address, &call)).await;
                 again.map_err(|error| CallError::NoAnswer(error.to_string()))?
             }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -150,6 +150,7 @@
         request: &IncomingRequest,
         plan: &SendPlan,
     ) -> Result<(Connection, Response<Incoming>), Ended> {
+        self.check(plan)?;
         if let Some(mut connection) = self.pool.take_idle(&plan.address) {
             match connection.send(self.build(request, plan)).await {
                 Ok(response) => return Ok((connection, response)),
@@ -163,6 +164,11 @@
         let unreachable = || Ended::from(SendOutcome::NotRun(NotRunReason::Unreachable));
         let connecting = self.pool.connect(&plan.address, CONNECT_TIMEOUT);
         let mut connection = connecting.await.map_err(|_| unreachable())?;
+        // Other answers may have come while this one connected.
+        if let Err(withheld) = self.check(plan) {
+            connection.keep();
+            return Err(withheld);
+        }
         match connection.send(self.build(request, plan)).await {
             Ok(response) => Ok((connection, response)),
             Err(SendError::NotSent(_)) => Err(unreachable()),
@@ -170,6 +176,14 @@
         }
     }
 
+    /// Whether the engine still takes what is to be sent, by its own word.
+    fn check(&self, plan: &SendPlan) -> Result<(), Ended> {
+        match self.listener.withheld(&plan.instance, AnswerPath::Request) {
+            Some(_) => Err(SendOutcome::NotRun(NotRunReason::Withheld).into()),
+            None => Ok(()),
+        }
+    }
+
     /// Time until a plan's end.
     fn left(&self, plan: &SendPlan) -> Duration {
         let end = self.clock.instant(plan.end);
--- a/crates/daemon/src/gateway/list_reading.rs
+++ b/crates/daemon/src/gateway/list_reading.rs
@@ -1,6 +1,6 @@
 //! Reads the list of back ends, page by page, while this node is its reader.
 
-use crate::gateway::calls::{CallError, CallTarget, RuntimeCalls};
+use crate::gateway::calls::{CallTarget, RuntimeCalls};
 use crate::gateway::event::{GatewayEvent, ListRead};
 use crate::settings::GatewaySettings;
 use silversail_serving::ports::{ListPage, ListedInstance};
@@ -130,9 +130,7 @@
                 PageAnswer::Refused(format!("status {}", answer.status))
             }
             Ok(answer) => PageAnswer::Failed(ListError::Status(answer.status)),
-            Err(error @ (CallError::NotSent(_) | CallError::NoAnswer(_))) => {
-                PageAnswer::Refused(error.to_string())
-            }
+            Err(error) => PageAnswer::Refused(error.to_string()),
         }
     }
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod event;
 pub mod exchange;
 mod following;
+mod frees;
 pub mod list_reader;
 mod list_reading;
 pub mod notices;
--- a/crates/daemon/src/gateway/notices.rs
+++ b/crates/daemon/src/gateway/notices.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::{self, Clock};
 use crate::metrics::Metrics;
-use silversail_serving::notices::{AnswerPath, BackendNotices};
+use silversail_serving::notices::{AnswerPath, BackendNotices, Withheld};
 use silversail_serving::ports::SelfReport;
 use std::sync::Arc;
 
@@ -18,6 +18,17 @@
 }
 
 impl NoticeListener {
+    /// Why nothing may be sent to a back end now; none where it may get what is to be sent. Asked
+    /// directly before bytes leave: since the choice a request may have waited for a connection.
+    pub fn withheld(&self, instance: &str, path: AnswerPath) -> Option<Withheld> {
+        let now = self.clock.millis(clock::now());
+        let reason = self.notices.of(instance).withheld(now)?;
+        let counted = &self.metrics.sends_withheld;
+        let labels = [reason.name(), path.name()];
+        counted.with_label_values(&labels).inc();
+        Some(reason)
+    }
+
     /// A back end said something of itself in an answer.
     pub fn heard(&self, instance: &str, path: AnswerPath, said: &SelfReport) {
         let now = self.clock.millis(clock::now());
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -41,6 +41,9 @@
     pub broken_connections: IntCounterVec,
     /// Rests and leaving that back ends told of in answers, by kind and what was answered.
     pub backend_notices: IntCounterVec,
+    /// Sends that were not made, as the back end said after it was chosen that it rests or leaves,
+    /// by reason and what was to be sent.
+    pub sends_withheld: IntCounterVec,
     /// Times that the machine was suspended.
     pub suspensions: IntCounter,
     /// Requests that are refused as they crash back ends, those watched, and, on voters, suspects.
@@ -224,6 +227,11 @@
                 "Rests and leaving that back ends told of in answers",
                 &["kind", "path"],
             ),
+            sends_withheld: counter(
+                "silversail_sends_withheld_total",
+                "Sends not made as the back end rests or leaves by its own word",
+                &["reason", "path"],
+            ),
             quarantine: gauges(
                 "silversail_quarantined_requests",
                 "Requests that crash back ends",
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -136,6 +136,15 @@
         /// How far the back end is: `same_zone`, `same_region` or `other_region`.
         distance: String,
     },
+    /// A request waits, as all engines that may have it rest.
+    WaitsForRest {
+        /// The caller's identifier.
+        request: String,
+        /// The service.
+        service: String,
+        /// Milliseconds until the first of them is back.
+        for_ms: u64,
+    },
     /// A send ended without an answer for the caller.
     SendFailed {
         /// The caller's identifier.
--- a/crates/decisions/src/event_class.rs
+++ b/crates/decisions/src/event_class.rs
@@ -27,6 +27,7 @@
                 EventClass::Step
             }
             Event::Refused { .. }
+            | Event::WaitsForRest { .. }
             | Event::PhaseDone { .. }
             | Event::SendFailed { .. }
             | Event::Answered { .. }
@@ -44,6 +45,7 @@
             | Event::PhaseDone { request, .. }
             | Event::Sent { request, .. }
             | Event::SendFailed { request, .. }
+            | Event::WaitsForRest { request, .. }
             | Event::Answered { request, .. }
             | Event::CallerGone { request, .. } => Some(request),
             _ => None,
--- a/crates/model/src/codes.rs
+++ b/crates/model/src/codes.rs
@@ -137,6 +137,8 @@
     NoAllowedBackend = 2113, "no_allowed_backend", 503, NotRun;
     /// Back ends crashed each time they ran this request: it is not sent to another.
     RequestQuarantined = 2114, "request_quarantined", 400, NotRun;
+    /// All back ends that may have the request asked for rest and are not back in time.
+    BackendsResting = 2115, "backends_resting", 503, NotRun;
 
     /// No route has the request's host and a prefix of its path.
     UnknownRoute = 2201, "unknown_route", 404, NotRun;
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -77,6 +77,8 @@
     NotRun,
     /// The back end was not reached: nothing was sent.
     Unreachable,
+    /// Nothing was sent, as the back end said after it was chosen that it rests or leaves.
+    Withheld,
     /// It may have run.
     Unknown,
 }
--- a/crates/serving/src/batcher/estimate.rs
+++ b/crates/serving/src/batcher/estimate.rs
@@ -109,6 +109,8 @@
             true => call_ms(spec, spec.pieces) / (makers + 1) as f64,
             false => 0.0,
         };
+        let rest = self.makers.rest_ms(shard, table, now) as f64;
+        let until_free = until_free.max(rest);
         let pieces_of_call = spec.pieces as f64 * self.pace_of(shard).fullness;
         let call = spec.call_ms + spec.piece_ms * pieces_of_call;
         Flow {
--- a/crates/serving/src/batcher/makers.rs
+++ b/crates/serving/src/batcher/makers.rs
@@ -147,6 +147,7 @@
     pub(super) fn call_ended(&mut self, call: &EndedCall<'_>, outcome: &CallOutcome, now: Millis) {
         let id = call.maker;
         match outcome {
+            CallOutcome::Withheld => {}
             CallOutcome::NotRun => self.refused(id, now),
             CallOutcome::Unreachable | CallOutcome::Unknown => self.failed(call, now),
             CallOutcome::Answered(_) => {
@@ -174,6 +175,14 @@
         until.min().unwrap_or_default() as u32
     }
 
+    /// Milliseconds until the first of a shard's makers is back from its rest; 0 where one does not
+    /// rest.
+    pub(super) fn rest_ms(&self, shard: &Shard, table: &InstanceTable, now: Millis) -> Millis {
+        let staying = table.of_shard(shard).filter(|one| one.takes_work());
+        let left = staying.map(|one| one.rest_left(now));
+        left.min().unwrap_or_default()
+    }
+
     fn is_refusing(&self, id: &str, now: Millis) -> bool {
         let maker = self.makers.get(id);
         maker.is_some_and(|maker| maker.refused_until > now)
@@ -231,6 +240,7 @@
             let id = &one.listed.id;
             versions.admits(one.role())
                 && one.takes_work()
+                && !one.is_resting(now)
                 && !self.has_failed(id)
                 && !self.is_slow(id, now)
         });
--- a/crates/serving/src/batcher/outcomes.rs
+++ b/crates/serving/src/batcher/outcomes.rs
@@ -35,7 +35,9 @@
         self.note_maker(&state, &outcome, now);
         match outcome {
             CallOutcome::Answered(results) => self.answered(&state, results, now),
-            CallOutcome::NotRun | CallOutcome::Unreachable => self.put_back(&state, false),
+            CallOutcome::NotRun | CallOutcome::Unreachable | CallOutcome::Withheld => {
+                self.put_back(&state, false)
+            }
             CallOutcome::Unknown => self.put_back(&state, true),
         }
     }
@@ -182,6 +184,27 @@
             .collect()
     }
 
+    /// Ends the waiting orders that no maker takes in time, as all of their shard rest: whoever
+    /// gave them is told so at once.
+    pub fn end_late_by_rests(&mut self, table: &InstanceTable, now: Millis) -> Vec<FinishedOrder> {
+        let rests = self.shards.keys().map(|shard| {
+            let rest = self.makers.rest_ms(shard, table, now);
+            (shard.clone(), rest)
+        });
+        let rests: BTreeMap<Shard, Millis> = rests.filter(|(_, rest)| *rest > 0).collect();
+        let is_too_late = |order: &Order| {
+            let rest = rests.get(&order.work.shard).copied();
+            rest.is_some_and(|rest| now.saturating_add(rest) >= order.deadline)
+        };
+        let orders = self.orders.iter().filter(|(_, order)| order.is_waiting());
+        let ended = orders.filter(|(_, order)| is_too_late(order));
+        let ended: Vec<OrderKey> = ended.map(|(key, _)| key.clone()).collect();
+        ended
+            .iter()
+            .filter_map(|key| self.fail(key, PieceFailure::Overloaded))
+            .collect()
+    }
+
     /// Ends the waiting orders of shards whose makers may get no work any more, as they leave
     /// or their zone is evacuated: whoever gave them can give them to another shard, or refuse
     /// at once. So do those that none of the shard's makers may make where they lie.
@@ -210,6 +233,7 @@
         CallOutcome::Answered(results) => results,
         CallOutcome::NotRun => return "not_run".to_owned(),
         CallOutcome::Unreachable => return "unreachable".to_owned(),
+        CallOutcome::Withheld => return "withheld".to_owned(),
         CallOutcome::Unknown => return "unknown".to_owned(),
     };
     let mut failures: BTreeMap<PieceFailure, usize> = BTreeMap::new();
--- a/crates/serving/src/batcher/versions.rs
+++ b/crates/serving/src/batcher/versions.rs
@@ -158,7 +158,7 @@
         outcome: &CallOutcome,
     ) {
         let answer = match outcome {
-            CallOutcome::NotRun | CallOutcome::Unreachable => return,
+            CallOutcome::NotRun | CallOutcome::Unreachable | CallOutcome::Withheld => return,
             CallOutcome::Unknown => CountedAnswer::Bad,
             CallOutcome::Answered(results) if results.contains(&Err(PieceFailure::Failed)) => {
                 CountedAnswer::Bad
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -11,9 +11,11 @@
 mod progress;
 mod regions;
 mod request;
+mod rests;
 mod sending;
 
 use crate::instances::InstanceTable;
+use crate::notices::BackendNotices;
 use crate::policy::Policy;
 use crate::popularity::SeenPrompts;
 use crate::ports::{CallAttributes, ListedInstance, ReportedLoad};
@@ -40,6 +42,8 @@
 const RETRY_AFTER_LOAD: u64 = 600;
 /// When a caller is told to come back after anything else, in milliseconds.
 const RETRY_AFTER: u64 = 250;
+/// Status of refusals after which a caller may come back.
+const SERVICE_UNAVAILABLE: u16 = 503;
 
 /// Identifies a request at its node.
 pub type RequestNumber = u64;
@@ -94,6 +98,13 @@
         }
     }
 
+    /// The same dispatcher, without back ends, which obeys what these say by `notices`: whoever
+    /// reads answers writes there.
+    pub fn with_notices(mut self, notices: BackendNotices) -> Self {
+        self.instances = InstanceTable::with_notices(notices, self.log.clone());
+        self
+    }
+
     /// Takes the nodes that share the retry allowance and what cold back ends bear, and which
     /// of them this is.
     pub fn set_nodes(&mut self, own: &str, nodes: Vec<String>) {
@@ -105,6 +116,7 @@
     pub fn take_listing(&mut self, listed: &[ListedInstance], now: Millis) {
         if self.instances.replace(listed) {
             self.instances.hold_back_new_versions(now);
+            self.instances.forget_gone(now);
         }
     }
 
@@ -216,6 +228,7 @@
         let is_quarantined = self.quarantine.refuses(&request.fingerprint);
         let is_served_nowhere = self.is_served_nowhere(&request);
         let refused = self.admission.refuses(&request, now);
+        let back_at = self.too_late_back_at(&request, now);
         self.admission.note_forecasts(&mut request, now);
         self.requests.insert(number, request);
         if is_quarantined {
@@ -224,6 +237,9 @@
         if is_served_nowhere {
             return self.give_up(number, ResultCode::NoAllowedBackend, now);
         }
+        if let Some(back_at) = back_at {
+            return self.refuse_until(number, back_at, now);
+        }
         if let Some(come_back_in) = refused {
             return self.end(number, ResultCode::PhaseOverloaded, Some(come_back_in), now);
         }
@@ -368,9 +384,11 @@
         let Some(mut request) = self.requests.remove(&number) else {
             return Vec::new();
         };
+        let code = request.truthful(code);
+        let may_come_back = code.http_status() == SERVICE_UNAVAILABLE;
         let refusal = Refusal {
             code,
-            retry_after_ms,
+            retry_after_ms: retry_after_ms.filter(|_| may_come_back),
         };
         let after_ms = now.saturating_sub(request.arrived_at);
         self.log_refusal(&request.call.id, &refusal, after_ms, request.sends);
@@ -430,7 +448,7 @@
 fn retry_after(code: ResultCode) -> Option<u64> {
     match code {
         ResultCode::PhaseOverloaded => Some(RETRY_AFTER_LOAD),
-        code if code.http_status() == 503 => Some(RETRY_AFTER),
+        code if code.http_status() == SERVICE_UNAVAILABLE => Some(RETRY_AFTER),
         _ => None,
     }
 }
--- a/crates/serving/src/dispatcher/action.rs
+++ b/crates/serving/src/dispatcher/action.rs
@@ -101,6 +101,8 @@
 pub enum NotRunReason {
     /// It was not reached: nothing was sent.
     Unreachable,
+    /// It rests or leaves, as it said itself after it was chosen: nothing was sent.
+    Withheld,
     /// It said that it is full.
     Full,
     /// Another engine has its address.
--- a/crates/serving/src/dispatcher/outcomes.rs
+++ b/crates/serving/src/dispatcher/outcomes.rs
@@ -52,8 +52,10 @@
                 instances.failed(instance, now, "unreachable");
             }
             SendOutcome::NotRun(NotRunReason::Full) => instances.full(instance, now),
-            SendOutcome::NotRun(NotRunReason::Misplaced) => instances.misplaced(instance),
-            SendOutcome::NotRun(NotRunReason::InputsGone | NotRunReason::Refused) => {}
+            SendOutcome::NotRun(NotRunReason::Misplaced) => instances.misplaced(instance, now),
+            SendOutcome::NotRun(
+                NotRunReason::InputsGone | NotRunReason::Refused | NotRunReason::Withheld,
+            ) => {}
             SendOutcome::Unknown(UnknownReason::Deadline) => {}
             SendOutcome::Unknown(UnknownReason::Broken) => {
                 instances.failed(instance, now, "broken");
@@ -97,6 +99,10 @@
             self.log_send_failed(number, present, "not_run", "InputsGone", "retry", now);
             return self.restart(number, now);
         }
+        if reason == NotRunReason::Withheld {
+            self.log_send_failed(number, present, "not_run", "Withheld", "retry", now);
+            return self.choose_anew(number, now);
+        }
         // Nothing reached an engine that was not reached, so that costs nothing.
         let is_free = reason == NotRunReason::Unreachable;
         let next = if is_free {
@@ -183,6 +189,9 @@
             request.is_some_and(|request| self.quarantine.refuses(&request.fingerprint));
         if may_repeat && has_attempts && !is_quarantined && self.take_retry(number, now).is_none() {
             self.log_send_failed(number, present, outcome, reason, "retry", now);
+            if let Some(request) = self.requests.get_mut(&number) {
+                request.failed_with = Some(code);
+            }
             return self.send_again(number, code, now);
         }
         self.log_send_failed(number, present, outcome, reason, code.reason(), now);
--- a/crates/serving/src/dispatcher/request.rs
+++ b/crates/serving/src/dispatcher/request.rs
@@ -12,7 +12,7 @@
 use crate::routes::{RouteTable, Routed};
 use crate::selection::{affinity_key, SelectionRequest};
 use crate::Millis;
-use silversail_model::{RequestFingerprint, ResultCode, Shard, Topology};
+use silversail_model::{Outcome, RequestFingerprint, ResultCode, Shard, Topology};
 use silversail_peer::{PhaseWork, Piece, ResultHandle};
 
 /// How long a phase and what comes around it takes at least, in milliseconds:
@@ -62,6 +62,10 @@
     pub(super) failed_at_candidate: bool,
     /// Back ends that were not reached.
     pub(super) unreached: u32,
+    /// Until when it waits for an engine that rests; none where it does not.
+    pub(super) waits_until: Option<Millis>,
+    /// What a send came to that may have run, where it was followed by another.
+    pub(super) failed_with: Option<ResultCode>,
     /// How long engines read what it shares with others.
     pub(super) shared_prompt: SharedPrompt,
 }
@@ -90,6 +94,8 @@
             restarts: 0,
             failed_at_candidate: false,
             unreached: 0,
+            waits_until: None,
+            failed_with: None,
             shared_prompt: SharedPrompt::default(),
         }
     }
@@ -138,6 +144,14 @@
         of_phases.chain([&self.routed.service])
     }
 
+    /// The code that is true of it: none that says that it did not run once it may have run.
+    pub(super) fn truthful(&self, code: ResultCode) -> ResultCode {
+        match self.failed_with {
+            Some(failed_with) if code.outcome() == Outcome::NotRun => failed_with,
+            _ => code,
+        }
+    }
+
     /// Why it can't be served where no back end can have it.
     pub(super) fn no_backend_code(&self) -> ResultCode {
         match self.routed.regions.is_restricting() {
--- a/crates/serving/src/dispatcher/sending.rs
+++ b/crates/serving/src/dispatcher/sending.rs
@@ -24,8 +24,7 @@
             return self.give_up(number, ResultCode::RequestQuarantined, now);
         }
         let Some(instance) = self.engine_for(request, now) else {
-            let code = request.no_backend_code();
-            return self.give_up(number, code, now);
+            return self.without_engine(number, now);
         };
         let plan = plan_of(request, instance, &self.topology, now);
         self.log_sent(request, instance, plan.distance, now);
@@ -36,6 +35,7 @@
         self.instances.sent(&plan.instance, tokens, now);
         if let Some(request) = self.requests.get_mut(&number) {
             request.sends += 1;
+            request.waits_until = None;
             request.tried.push(plan.instance.clone());
             request.present = Some(PresentSend {
                 instance: plan.instance.clone(),
@@ -71,7 +71,7 @@
 
     /// The engine that gets a request now. Where no engine of the candidate can be used, as
     /// all are cold, full or not there yet, the baseline gets what the candidate might.
-    fn engine_for(&self, request: &ActiveRequest, now: Millis) -> Option<&Instance> {
+    pub(super) fn engine_for(&self, request: &ActiveRequest, now: Millis) -> Option<&Instance> {
         let inputs = request.inputs_of_engine(&self.instances);
         let of_versions = |versions| {
             let selection = SelectionRequest {
--- a/crates/serving/src/instances.rs
+++ b/crates/serving/src/instances.rs
@@ -3,6 +3,7 @@
 mod versions;
 
 use crate::cold::ColdSenders;
+use crate::notices::{BackendNotices, Notice};
 use crate::ports::{ListedInstance, ReportedLoad};
 use crate::rollouts::{VersionRole, VersionRoles};
 use crate::Millis;
@@ -11,6 +12,7 @@
 use silversail_model::Shard;
 use silversail_peer::ResultHandle;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use versions::KnownVersions;
 
 /// How long a back end that could not be reached, or broke off, is passed over
@@ -28,6 +30,14 @@
 /// and spreads within a heartbeat.
 const PRESUMED_COLD_FOR: Millis = 2_500;
 
+/// How long the first request after a back end's rest keeps this node's others from it, in
+/// milliseconds, while nothing is heard of it: engines that take work begin to answer within it.
+const FIRST_AFTER_REST_FOR: Millis = 1_000;
+/// For how long a back end counts as gone after another one answered at its address, in
+/// milliseconds. Lists lag by 0.8 s and go on to name a crashed back end for some seconds; a back
+/// end that is there all the same costs one request in that time.
+const MISPLACED_FOR: Millis = 10_000;
+
 /// Identity of one start of a back end.
 pub type InstanceId = String;
 
@@ -57,11 +67,20 @@
     failures: u32,
     suspect_until: Millis,
     full_until: Millis,
+    /// Until when it counts as gone, as another one answered at its address.
+    misplaced_until: Millis,
+    /// What it said of itself.
+    notice: Arc<Notice>,
+    /// When this node last sent to it after a rest, before anything was heard of it.
+    first_sent_after_rest_at: Option<Millis>,
 }
 
 impl Instance {
-    fn new(listed: ListedInstance) -> Self {
+    fn new(listed: ListedInstance, notice: Arc<Notice>) -> Self {
         Self {
+            misplaced_until: 0,
+            notice,
+            first_sent_after_rest_at: None,
             listed,
             is_evacuated: false,
             role: VersionRole::Ordinary,
@@ -78,10 +97,36 @@
         }
     }
 
-    /// Whether it may get new work at all: it is not leaving, its zone is not evacuated, and
-    /// its version is not retired.
+    /// Whether it may get new work at all: it is not leaving, by the list or by its own word, its
+    /// zone is not evacuated, and its version is not retired. One that rests does, later.
     pub fn takes_work(&self) -> bool {
-        !self.listed.draining && !self.is_evacuated && self.role != VersionRole::Retired
+        let is_leaving = self.listed.draining || self.notice.is_leaving();
+        !is_leaving && !self.is_evacuated && self.role != VersionRole::Retired
+    }
+
+    /// Whether it said itself that it leaves.
+    pub fn said_it_leaves(&self) -> bool {
+        self.notice.is_leaving()
+    }
+
+    /// Whether it asked for a rest that is not over.
+    pub fn is_resting(&self, now: Millis) -> bool {
+        self.notice.is_resting(now)
+    }
+
+    /// Milliseconds until its rest is over; 0 where it is.
+    pub fn rest_left(&self, now: Millis) -> Millis {
+        self.notice.rest_until().saturating_sub(now)
+    }
+
+    /// When it may be chosen again by what it said of its load; none where it may be now.
+    /// After a rest one request goes first: if it is turned away, the others were spared.
+    pub fn back_at(&self, now: Millis) -> Option<Millis> {
+        let first_at = self.first_sent_after_rest_at;
+        let until_answer = first_at.filter(|_| self.notice.is_unproven(now));
+        let until_answer = until_answer.map_or(0, |at| at + FIRST_AFTER_REST_FOR);
+        let until = self.notice.rest_until().max(until_answer);
+        Some(until.max(self.full_until)).filter(|until| now < *until)
     }
 
     /// The part of its version.
@@ -89,6 +134,13 @@
         self.role
     }
 
+    /// Whether the first request after its rest is under way and nothing was heard of it.
+    pub fn is_first_awaited(&self, now: Millis) -> bool {
+        let first_at = self.first_sent_after_rest_at;
+        let until = first_at.map_or(0, |at| at + FIRST_AFTER_REST_FOR);
+        self.notice.is_unproven(now) && now < until
+    }
+
     /// Whether it may be chosen at `now`.
     pub fn is_usable(&self, now: Millis) -> bool {
         self.is_sound(now) && !self.is_held_back(now)
@@ -100,7 +152,7 @@
     }
 
     fn is_sound(&self, now: Millis) -> bool {
-        self.takes_work() && now >= self.suspect_until && now >= self.full_until
+        self.takes_work() && !self.is_passed_over(now) && self.back_at(now).is_none()
     }
 
     /// Whether its version is new and no order names it yet.
@@ -118,6 +170,20 @@
         now < self.suspect_until
     }
 
+    /// Whether it failed lately, or another one answered at its address.
+    pub fn is_passed_over(&self, now: Millis) -> bool {
+        self.is_suspect(now) || now < self.misplaced_until
+    }
+
+    /// Whether it may be tried where all failed: it failed lately itself, but did not ask to be
+    /// left alone and is not gone.
+    pub fn may_be_tried_again(&self, now: Millis) -> bool {
+        self.takes_work()
+            && self.is_suspect(now)
+            && now >= self.misplaced_until
+            && self.back_at(now).is_none()
+    }
+
     /// The latest report with its age; none when it is too old to count.
     pub fn report(&self, now: Millis) -> Option<(ReportedLoad, Millis)> {
         let (load, at) = self.load?;
@@ -158,13 +224,21 @@
     roles: VersionRoles,
     known_versions: KnownVersions,
     cold_senders: ColdSenders,
+    notices: BackendNotices,
     log: DecisionLog,
 }
 
 impl InstanceTable {
     /// A table without back ends.
     pub fn new(log: DecisionLog) -> Self {
+        let notices = BackendNotices::new(log.clone());
+        Self::with_notices(notices, log)
+    }
+
+    /// A table without back ends, which obeys what they say by `notices`.
+    pub fn with_notices(notices: BackendNotices, log: DecisionLog) -> Self {
         Self {
+            notices,
             instances: BTreeMap::new(),
             by_service: BTreeMap::new(),
             by_address: BTreeMap::new(),
@@ -196,7 +270,10 @@
                         changed = true;
                         self.note(entry);
                     }
-                    has_other_members |= known.listed.address != entry.address;
+                    if known.listed.address != entry.address {
+                        has_other_members = true;
+                        known.misplaced_until = 0;
+                    }
                     if known.listed != *entry {
                         known.listed = entry.clone();
                     }
@@ -205,7 +282,7 @@
                 None => {
                     has_other_members = true;
                     self.note(entry);
-                    Instance::new(entry.clone())
+                    Instance::new(entry.clone(), self.notices.of(&entry.id))
                 }
             };
             instance.is_evacuated = self.evacuated.contains(&instance.listed.zone);
@@ -256,6 +333,17 @@
         }
     }
 
+    /// What the back ends said of themselves.
+    pub fn notices(&self) -> &BackendNotices {
+        &self.notices
+    }
+
+    /// Forgets what back ends said that no list has named for long.
+    pub fn forget_gone(&self, now: Millis) {
+        let listed = self.instances.keys().map(String::as_str).collect();
+        self.notices.set_listed(&listed, now);
+    }
+
     /// Takes which zones are evacuated from now on.
     pub fn set_evacuated(&mut self, zones: BTreeSet<String>, now: Millis) {
         self.evacuated = zones;
@@ -372,6 +460,9 @@
             if instance.is_cold(now) {
                 instance.sent_cold_at = Some(now);
             }
+            if instance.notice.is_unproven(now) {
+                instance.first_sent_after_rest_at = Some(now);
+            }
             instance.in_flight += 1;
             instance.tokens_in_flight += tokens;
             instance.sent_since_report += 1;
@@ -428,10 +519,10 @@
         self.record(&listed, "full", "answer");
     }
 
-    /// A back end is not the one that the list names any more.
-    pub fn misplaced(&mut self, id: &str) {
+    /// Another back end answered at a back end's address. A list that lags does not take it back.
+    pub fn misplaced(&mut self, id: &str, now: Millis) {
         if let Some(instance) = self.instances.get_mut(id) {
-            instance.listed.draining = true;
+            instance.misplaced_until = now + MISPLACED_FOR;
             let listed = instance.listed.clone();
             self.record(&listed, "gone", "answer");
         }
--- a/crates/serving/src/notices.rs
+++ b/crates/serving/src/notices.rs
@@ -53,10 +53,30 @@
     pub is_leaving: bool,
 }
 
+/// Why nothing may be sent to a back end, as it said so itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withheld {
+    /// It asked for a rest that is not over.
+    Resting,
+    /// It leaves.
+    Leaving,
+}
+
+impl Withheld {
+    /// Its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Withheld::Resting => "resting",
+            Withheld::Leaving => "leaving",
+        }
+    }
+}
+
 /// What one back end said of itself. Read without a lock.
 #[derive(Debug, Default)]
 pub struct Notice {
     rest_until: AtomicU64,
+    has_rested: AtomicBool,
     is_leaving: AtomicBool,
 }
 
@@ -71,10 +91,23 @@
         now < self.rest_until()
     }
 
+    /// Whether its rest is over and nothing was heard of it since.
+    pub fn is_unproven(&self, now: Millis) -> bool {
+        self.has_rested.load(Ordering::Acquire) && !self.is_resting(now)
+    }
+
     /// Whether it said that it leaves.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Acquire)
     }
+
+    /// Why nothing may be sent to it at `now`; none where it may get work.
+    pub fn withheld(&self, now: Millis) -> Option<Withheld> {
+        if self.is_leaving() {
+            return Some(Withheld::Leaving);
+        }
+        self.is_resting(now).then_some(Withheld::Resting)
+    }
 }
 
 struct Entry {
@@ -115,17 +148,18 @@
 
     /// Takes in what a back end said of itself at `now`. Of two rests the later end holds.
     pub fn hear(&self, id: &str, path: AnswerPath, said: &SelfReport, now: Millis) -> News {
-        if said.rest.is_none() && !said.is_leaving {
-            return News::default();
-        }
         let mut entries = self.lock();
         let entry = entry(&mut entries, id);
         let mut news = News::default();
+        if said.rest.is_none() && entry.notice.is_unproven(now) {
+            entry.notice.has_rested.store(false, Ordering::Release);
+        }
         if let Some(rest) = said.rest {
             let length = whole_millis(rest);
             let until = now.saturating_add(length);
             news.is_longer_rest =
                 entry.notice.rest_until.fetch_max(until, Ordering::AcqRel) < until;
+            entry.notice.has_rested.store(true, Ordering::Release);
             if news.is_longer_rest {
                 entry.rest_is_logged = true;
                 self.log.record(Event::RestBegan {
@@ -147,6 +181,22 @@
         news
     }
 
+    /// Those that rest at `now`, each with the milliseconds that remain.
+    pub fn resting(&self, now: Millis) -> Vec<(InstanceId, Millis)> {
+        let entries = self.lock();
+        let resting = entries.iter().filter(|(_, one)| one.notice.is_resting(now));
+        resting
+            .map(|(id, one)| (id.clone(), one.notice.rest_until() - now))
+            .collect()
+    }
+
+    /// Those that said that they leave.
+    pub fn leaving(&self) -> Vec<InstanceId> {
+        let entries = self.lock();
+        let leaving = entries.iter().filter(|(_, one)| one.notice.is_leaving());
+        leaving.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Tells the log which rests are over.
     pub fn log_ended_rests(&self, now: Millis) {
         for (id, entry) in self.lock().iter_mut() {
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -148,7 +148,7 @@
     instances
 }
 
-/// Where every back end failed or was tried: any that is not leaving or full.
+/// Where every back end failed or was tried: any that is not leaving, gone, resting or full.
 fn last_resort<'a>(
     table: &'a InstanceTable,
     request: &SelectionRequest<'_>,
@@ -159,7 +159,7 @@
         .filter(|one| one.takes_work() && request.allows(one))
         .collect();
     let is_untried =
-        |one: &&&Instance| one.is_suspect(now) && !request.tried.contains(&one.listed.id);
+        |one: &&&Instance| one.may_be_tried_again(now) && !request.tried.contains(&one.listed.id);
     let untried: Vec<&Instance> = staying.iter().filter(is_untried).copied().collect();
     if !untried.is_empty() {
         return untried;
