Pipelines: back ends that ask for rest or say that they leave are left alone

Cause: calls of pipelines took a 503 for a plain refusal whatever its head said; the same cause as with pass-through requests.

Change: a guard stands between each exchange with a back end (stage calls, resumed streams, cancels, questions for the load) and the network: it is asked before bytes leave and hears each head. A call that was withheld costs no attempt and no retry; a claimed one is chosen anew. Where all back ends of a stage rest beyond the deadline the request is refused at once with 2115 and the time. A broken stream that can't be resumed as its engine rests ends as lost, not as not run.

Orders of models to engines are operators' and are not withheld.

--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -74,6 +74,9 @@
     /// The deadline passed after the call was sent.
     #[error("deadline passed")]
     Deadline,
+    /// Nothing was sent, as the back end rests or leaves by its own word.
+    #[error("withheld: the back end rests or leaves")]
+    Withheld,
     /// The call was cancelled.
     #[error("cancelled")]
     Cancelled,
--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -7,6 +7,7 @@
 
 use crate::agent::{transport_failure, Agents};
 use crate::call::{CallFailure, StageCall, StageOutput, TokenSink};
+use crate::guard::{send_guarded, CallGuard, Sent};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
@@ -86,6 +87,7 @@
     agents: &Agents,
     call: &StageCall,
     sink: &mut dyn TokenSink,
+    guard: &dyn CallGuard,
 ) -> Result<StageOutput, CallFailure> {
     let prompt = prompt_of(call);
     let mut progress = Progress {
@@ -98,10 +100,13 @@
     let mut resumes = 0;
     loop {
         let resume_from = (resumes > 0).then_some(progress.tokens);
-        let end = match open_stream(agents, call, &prompt, resume_from) {
+        let end = match open_stream(agents, call, &prompt, resume_from, guard) {
             Ok(response) => read_stream(response, call, &mut progress)?,
             // A refused resume leaves what was received unfinished.
             Err(CallFailure::NotRun(detail)) if resumes > 0 => StreamEnd::Broken(detail),
+            Err(failure @ CallFailure::Withheld) if resumes > 0 => {
+                return Err(CallFailure::Lost(failure.to_string()));
+            }
             Err(failure) => return Err(failure),
         };
         match end {
@@ -139,6 +144,7 @@
     call: &StageCall,
     prompt: &str,
     resume_from: Option<u64>,
+    guard: &dyn CallGuard,
 ) -> Result<ureq::Response, CallFailure> {
     if call.is_cancelled() {
         return Err(CallFailure::Cancelled);
@@ -157,19 +163,18 @@
         resume_from,
     };
     let encoded = serde_json::to_vec(&body).expect("JSON values encode");
-    let response = agents
+    let request = agents
         .pooled
         .post(&format!("http://{}/v1/completions", call.address))
         .set("content-type", "application/json")
-        .timeout(remaining)
-        .send_bytes(&encoded);
-    match response {
-        Ok(response) => Ok(response),
-        Err(ureq::Error::Status(429 | 503 | 404, response)) => {
-            Err(CallFailure::NotRun(format!("status {}", response.status())))
+        .timeout(remaining);
+    match send_guarded(guard, request, Some(&encoded))? {
+        Sent::Succeeded(response) => Ok(response),
+        Sent::Refused(status @ (429 | 503 | 404), _) => {
+            Err(CallFailure::NotRun(format!("status {status}")))
         }
-        Err(ureq::Error::Status(status, _)) => Err(CallFailure::Failed(format!("status {status}"))),
-        Err(ureq::Error::Transport(error)) => Err(transport_failure(&error)),
+        Sent::Refused(status, _) => Err(CallFailure::Failed(format!("status {status}"))),
+        Sent::Unanswered(error) => Err(transport_failure(&error)),
     }
 }
 
@@ -243,26 +248,27 @@
 }
 
 /// Tells an engine that an attempt's stream is not wanted any more.
-pub fn cancel(agents: &Agents, address: &str, attempt: &str) {
+pub fn cancel(agents: &Agents, address: &str, attempt: &str, guard: &dyn CallGuard) {
     let url = format!("http://{address}/v1/cancel");
     let body = json!({ "request_id": attempt }).to_string();
+    let request = agents.pooled.post(&url).timeout(LOAD_TIMEOUT);
     // Best effort: the engine ends the stream by itself at its last token.
-    let _ = agents
-        .pooled
-        .post(&url)
-        .timeout(LOAD_TIMEOUT)
-        .send_string(&body);
+    let _ = send_guarded(guard, request, Some(body.as_bytes()));
 }
 
 /// Asks an engine for its load.
-pub fn load(agents: &Agents, address: &str) -> Result<EngineLoad, CallFailure> {
+pub fn load(
+    agents: &Agents,
+    address: &str,
+    guard: &dyn CallGuard,
+) -> Result<EngineLoad, CallFailure> {
     let url = format!("http://{address}/v1/load");
-    let response = agents
-        .pooled
-        .get(&url)
-        .timeout(LOAD_TIMEOUT)
-        .call()
-        .map_err(|error| CallFailure::Lost(error.to_string()))?;
+    let request = agents.pooled.get(&url).timeout(LOAD_TIMEOUT);
+    let response = match send_guarded(guard, request, None)? {
+        Sent::Succeeded(response) => response,
+        Sent::Refused(status, _) => return Err(CallFailure::Failed(format!("status {status}"))),
+        Sent::Unanswered(error) => return Err(CallFailure::Lost(error.to_string())),
+    };
     let text = response
         .into_string()
         .map_err(|error| CallFailure::Lost(error.to_string()))?;
--- /dev/null
+++ b/crates/backend/src/guard.rs
@@ -0,0 +1,78 @@
+//! What is asked before a call leaves for a back end, and what its answers say of it.
+
+use crate::call::CallFailure;
+use silversail_model::RequestedRest;
+use std::time::Duration;
+
+/// Header by which a back end says in an answer that it leaves; its value is `1`.
+const LEAVING: &str = "silversail-leaving";
+const RETRY_AFTER: &str = "retry-after";
+/// Statuses by which a back end turns a call away.
+const TURNED_AWAY: [u16; 2] = [429, 503];
+
+/// What a back end says of itself in the head of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HeadReport {
+    /// How long it wants nothing.
+    pub rest: Option<Duration>,
+    /// Whether it names a rest that can't be read.
+    pub has_unreadable_rest: bool,
+    /// Whether it leaves.
+    pub is_leaving: bool,
+}
+
+/// Stands between calls and one back end.
+pub trait CallGuard {
+    /// Whether the back end takes calls, by its own word.
+    fn takes_calls(&self) -> bool;
+
+    /// The back end said so in an answer.
+    fn heard(&self, report: &HeadReport);
+}
+
+/// What came of a request that was sent.
+pub(crate) enum Sent {
+    /// It was answered with a success.
+    Succeeded(ureq::Response),
+    /// It was answered with another status.
+    Refused(u16, ureq::Response),
+    /// No answer came.
+    Unanswered(Box<ureq::Transport>),
+}
+
+/// Sends a request, with a body where there is one, if the back end takes it, and hears what the
+/// answer says.
+pub(crate) fn send_guarded(
+    guard: &dyn CallGuard,
+    request: ureq::Request,
+    body: Option<&[u8]>,
+) -> Result<Sent, CallFailure> {
+    if !guard.takes_calls() {
+        return Err(CallFailure::Withheld);
+    }
+    let answer = match body {
+        Some(body) => request.send_bytes(body),
+        None => request.call(),
+    };
+    let sent = match answer {
+        Ok(response) => Sent::Succeeded(response),
+        Err(ureq::Error::Status(status, response)) => Sent::Refused(status, response),
+        Err(ureq::Error::Transport(error)) => Sent::Unanswered(Box::new(error)),
+    };
+    if let Sent::Succeeded(head) | Sent::Refused(_, head) = &sent {
+        guard.heard(&report_of(head));
+    }
+    Ok(sent)
+}
+
+fn report_of(head: &ureq::Response) -> HeadReport {
+    let rest = match TURNED_AWAY.contains(&head.status()) {
+        true => RequestedRest::read(head.all(RETRY_AFTER)),
+        false => RequestedRest::default(),
+    };
+    HeadReport {
+        rest: rest.longest,
+        has_unreadable_rest: rest.is_unreadable,
+        is_leaving: head.all(LEAVING).contains(&"1"),
+    }
+}
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod agent;
 pub mod call;
 pub mod engine;
+pub mod guard;
 pub mod order;
 pub mod platform;
 pub mod service;
@@ -11,4 +12,5 @@
 pub use agent::Agents;
 pub use call::{CallFailure, StageCall, StageOutput, TokenSink};
 pub use engine::EngineLoad;
+pub use guard::{CallGuard, HeadReport};
 pub use platform::{MachineList, MachineListEntry};
--- a/crates/backend/src/service.rs
+++ b/crates/backend/src/service.rs
@@ -6,6 +6,7 @@
 
 use crate::agent::{transport_failure, Agents};
 use crate::call::{CallFailure, StageCall, StageOutput};
+use crate::guard::{send_guarded, CallGuard, Sent};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::io::Read;
@@ -36,7 +37,11 @@
 }
 
 /// Runs a call; blocks until its answer, its deadline or an error.
-pub fn call(agents: &Agents, call: &StageCall) -> Result<StageOutput, CallFailure> {
+pub fn call(
+    agents: &Agents,
+    call: &StageCall,
+    guard: &dyn CallGuard,
+) -> Result<StageOutput, CallFailure> {
     if call.is_cancelled() {
         return Err(CallFailure::Cancelled);
     }
@@ -51,16 +56,15 @@
         previous: &call.previous,
     };
     let encoded = serde_json::to_vec(&body).expect("JSON values encode");
-    let response = agents
+    let request = agents
         .for_call(call.repeatable)
         .post(&format!("http://{}/v1/call", call.address))
         .set("content-type", "application/json")
-        .timeout(remaining)
-        .send_bytes(&encoded);
-    match response {
-        Ok(response) => read_answer(response, call),
-        Err(ureq::Error::Status(status, response)) => Err(refusal(status, response, call)),
-        Err(ureq::Error::Transport(error)) => Err(after_deadline(transport_failure(&error), call)),
+        .timeout(remaining);
+    match send_guarded(guard, request, Some(&encoded))? {
+        Sent::Succeeded(response) => read_answer(response, call),
+        Sent::Refused(status, response) => Err(refusal(status, response, call)),
+        Sent::Unanswered(error) => Err(after_deadline(transport_failure(&error), call)),
     }
 }
 
--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -56,6 +56,8 @@
     pub metrics: Arc<Metrics>,
     /// Decisions.
     pub log: DecisionLog,
+    /// What pipelines' back ends say of themselves, by address.
+    pub stage_notices: BackendNotices,
     /// Time.
     pub clock: Clock,
 }
--- a/crates/daemon/src/actors/builder.rs
+++ b/crates/daemon/src/actors/builder.rs
@@ -210,6 +210,7 @@
             ledgers: ledgers.iter().map(|ledger| (**ledger).clone()).collect(),
             calls,
             metrics: context.metrics.clone(),
+            notices: context.stage_notices.clone(),
             clock: context.clock,
             seed: self.platform.seed(),
         };
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -1,11 +1,14 @@
 //! Threads that run back-end calls. A thread that ends a call waits for the
 //! next; a new one is started only when none waits.
 
+use crate::call_guard::AddressGuard;
 use crate::event::{Event, EventSender};
+use crate::gateway::notices::NoticeListener;
 use silversail_backend::order::EngineOrder;
 use silversail_backend::{engine, order, service, Agents, StageCall, TokenSink};
 use silversail_control::OrderId;
 use silversail_serving::crashes::{Probe, ProbeAnswer};
+use silversail_serving::notices::AnswerPath;
 use std::io;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -66,6 +69,7 @@
 #[derive(Clone)]
 pub struct CallRunner {
     agents: Agents,
+    listener: NoticeListener,
     events: EventSender,
     jobs: Sender<Job>,
     waiting_jobs: Arc<Mutex<Receiver<Job>>>,
@@ -75,10 +79,11 @@
 
 impl CallRunner {
     /// A runner without threads.
-    pub fn new(agents: Agents, events: EventSender) -> Self {
+    pub fn new(agents: Agents, listener: NoticeListener, events: EventSender) -> Self {
         let (jobs, waiting_jobs) = channel();
         Self {
             agents,
+            listener,
             events,
             jobs,
             waiting_jobs: Arc::new(Mutex::new(waiting_jobs)),
@@ -121,6 +126,14 @@
         }
     }
 
+    fn guard<'a>(&'a self, address: &'a str) -> AddressGuard<'a> {
+        AddressGuard {
+            listener: &self.listener,
+            address,
+            path: AnswerPath::Stage,
+        }
+    }
+
     fn run_job(&self, job: Job) {
         match job {
             Job::Order { id, address, order } => {
@@ -133,7 +146,10 @@
                 // The main thread is gone only when the process ends.
                 let _ = self.events.send(Event::BackendProbed { backend, answer });
             }
-            Job::Cancel { address, attempt } => engine::cancel(&self.agents, &address, &attempt),
+            Job::Cancel { address, attempt } => {
+                let guard = self.guard(&address);
+                engine::cancel(&self.agents, &address, &attempt, &guard);
+            }
             Job::Stage {
                 attempt,
                 call,
@@ -141,14 +157,15 @@
                 streams,
             } => {
                 let started = Instant::now();
+                let guard = self.guard(&call.address);
                 let result = if is_generation {
                     let mut sink = EventSink {
                         attempt,
                         events: streams.then_some(&self.events),
                     };
-                    engine::generate(&self.agents, &call, &mut sink)
+                    engine::generate(&self.agents, &call, &mut sink, &guard)
                 } else {
-                    service::call(&self.agents, &call)
+                    service::call(&self.agents, &call, &guard)
                 };
                 let event = Event::CallEnded {
                     attempt,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`event::Event`].
 
 pub mod actors;
+pub mod call_guard;
 pub mod calls;
 pub mod clock;
 pub mod crashes;
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -59,14 +59,16 @@
     let log = parts.log;
     let outbox = open_outbox(&settings, topology.clone(), &events, &metrics, incarnation)?;
     let agents = Agents::new();
+    let listener = |notices| NoticeListener {
+        notices,
+        metrics: metrics.clone(),
+        clock,
+    };
+    let stage_listener = listener(BackendNotices::new(log.clone()));
     let notices = BackendNotices::new(log.clone());
     let gateway = match &settings.gateway {
         Some(gateway) => {
-            let listener = NoticeListener {
-                notices: notices.clone(),
-                metrics: metrics.clone(),
-                clock,
-            };
+            let listener = listener(notices.clone());
             let started = start_gateway(gateway, &parts.protocols, &events, listener)?;
             Some(started)
         }
@@ -75,7 +77,7 @@
     let mut platform = ProcessPlatform {
         data_folder: settings.data_folder.clone().unwrap_or_default(),
         events: events.clone(),
-        calls: CallRunner::new(agents.clone(), events.clone()),
+        calls: CallRunner::new(agents.clone(), stage_listener.clone(), events.clone()),
         gateway: gateway.as_ref().map(|gateway| gateway.calls()),
         protocols: parts.protocols,
         notices,
@@ -90,12 +92,13 @@
         directory: directory.clone(),
         metrics: metrics.clone(),
         log: log.clone(),
+        stage_notices: stage_listener.notices.clone(),
         clock,
     };
     let actors = ActorBuilder::new(&mut stakker, context, &mut platform).build()?;
     let server = serve_callers(&settings, &events, &metrics)?;
     serve_operators(&settings, &events, &metrics)?;
-    let engine_targets = start_pollers(&settings, &events, agents);
+    let engine_targets = start_pollers(&settings, &events, agents, &stage_listener);
     listen_to_signals(events.clone())?;
     if settings.discovery.is_some() {
         watch_settings(parts.settings_path.clone(), events)?;
@@ -280,7 +283,12 @@
         })
 }
 
-fn start_pollers(settings: &Settings, events: &EventSender, agents: Agents) -> EngineTargets {
+fn start_pollers(
+    settings: &Settings,
+    events: &EventSender,
+    agents: Agents,
+    listener: &NoticeListener,
+) -> EngineTargets {
     let targets = EngineTargets::default();
     if settings.gateway.is_some() {
         // The gateway's engines tell their loads with their answers.
@@ -291,6 +299,7 @@
         agents.clone(),
         targets.clone(),
         Duration::from_millis(timing.load_poll_ms),
+        listener,
         events.clone(),
     );
     if let Some(platform) = &settings.platform {
--- a/crates/daemon/src/pollers.rs
+++ b/crates/daemon/src/pollers.rs
@@ -1,8 +1,11 @@
 //! Threads that read engines' loads and the platform's list at intervals.
 
+use crate::call_guard::AddressGuard;
 use crate::event::{Event, EventSender};
+use crate::gateway::notices::NoticeListener;
 use silversail_backend::{engine, platform, Agents};
 use silversail_model::{BackendName, NodeName};
+use silversail_serving::notices::AnswerPath;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -25,10 +28,12 @@
     agents: Agents,
     targets: EngineTargets,
     interval: Duration,
+    listener: &NoticeListener,
     events: EventSender,
 ) {
     for part in 0..LOAD_THREADS {
         let (agents, targets, events) = (agents.clone(), targets.clone(), events.clone());
+        let listener = listener.clone();
         spawn("load-poller", move || loop {
             let mine: Vec<(BackendName, String)> = match targets.lock() {
                 Ok(targets) => targets
@@ -40,7 +45,12 @@
                 Err(_) => return,
             };
             for (backend, address) in mine {
-                if let Ok(load) = engine::load(&agents, &address) {
+                let guard = AddressGuard {
+                    listener: &listener,
+                    address: &address,
+                    path: AnswerPath::Load,
+                };
+                if let Ok(load) = engine::load(&agents, &address, &guard) {
                     if events.send(Event::EngineLoad { backend, load }).is_err() {
                         return;
                     }
--- a/crates/daemon/src/requests/actor.rs
+++ b/crates/daemon/src/requests/actor.rs
@@ -13,6 +13,7 @@
 use silversail_consensus::Millis;
 use silversail_model::{BackendName, NodeName, ResultCode};
 use silversail_routing::{Admission, FairQueue, Placer, RetryBudget, TenantLimiter};
+use silversail_serving::notices::BackendNotices;
 use silversail_serving::quarantine::RequestQuarantine;
 use stakker::{after, Actor, CX};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -38,6 +39,8 @@
     pub calls: Box<dyn Calls>,
     /// Counters.
     pub metrics: Arc<Metrics>,
+    /// What back ends say of themselves, by address.
+    pub notices: BackendNotices,
     /// Time.
     pub clock: Clock,
     /// Seed of placement.
@@ -180,6 +183,7 @@
     fn deadline_tick(&mut self, cx: CX![]) {
         self.ticking = false;
         let now = cx.now();
+        self.setup.notices.log_ended_rests(self.now_millis(cx));
         while let Some((deadline, number)) = self.deadlines.first().copied() {
             if deadline > now {
                 break;
--- a/crates/daemon/src/requests/dispatch.rs
+++ b/crates/daemon/src/requests/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::requests::own::ledger_reply;
 use serde_json::Value;
 use silversail_backend::StageCall;
+use silversail_consensus::Millis;
 use silversail_ledger::{Claim, LedgerCommand, LedgerReply};
 use silversail_model::{Backend, BackendName, ResultCode, StageKind};
 use silversail_routing::{Candidate, PoolId, QueuedStage, RetryBudget};
@@ -48,6 +49,11 @@
             .sum();
         let request = &self.requests[&number];
         let deadline = self.setup.clock.millis(request.deadline);
+        if let Some(back_at) = self.too_late_back_at(pool, deadline, self.now_millis(cx)) {
+            self.refuse_until(cx, number, back_at);
+            return;
+        }
+        let request = &self.requests[&number];
         self.queue.push(QueuedStage {
             request: number,
             tenant: request.tenant.clone(),
@@ -95,6 +101,7 @@
             .filter_map(|name| backends.get(name))
             .filter(|backend| !backend.drain && !state.is_leaving(&backend.address))
             .filter(|backend| self.pools.holds_model(pool, backend))
+            .filter(|backend| self.rest_until(backend) <= now)
             .filter(|backend| self.pools.has_slot(backend, share, now))
             .collect();
         let is_healthy = |backend: &&&Backend| {
@@ -253,9 +260,11 @@
             return;
         }
         match ledger_reply(outcome) {
-            Some(LedgerReply::Claimed) if self.may_still_go(number) => self.send_call(cx, number),
+            Some(LedgerReply::Claimed) if self.may_still_go(number, self.now_millis(cx)) => {
+                self.send_call(cx, number);
+            }
             Some(LedgerReply::Claimed) => {
-                // The back end began to leave meanwhile; nothing was sent.
+                // The back end began to leave or to rest meanwhile; nothing was sent.
                 self.drop_unsent_call(number);
                 self.start_stage(cx, number);
             }
@@ -272,7 +281,7 @@
         self.settle(cx);
     }
 
-    fn may_still_go(&self, number: RequestNumber) -> bool {
+    fn may_still_go(&self, number: RequestNumber, now: Millis) -> bool {
         let state = self.setup.state.borrow();
         let call = self.requests.get(&number).and_then(|one| one.call.as_ref());
         call.is_some_and(|call| {
@@ -280,7 +289,8 @@
             let is_drained = backends
                 .get(&call.backend)
                 .is_none_or(|backend| backend.drain);
-            !is_drained && !state.is_leaving(&call.address)
+            let rests = self.setup.notices.of(&call.address).is_resting(now);
+            !is_drained && !state.is_leaving(&call.address) && !rests
         })
     }
 
--- a/crates/daemon/src/requests/mod.rs
+++ b/crates/daemon/src/requests/mod.rs
@@ -19,5 +19,6 @@
 pub mod outcome;
 pub mod own;
 pub mod pools;
+mod rests;
 
 pub use actor::{RequestActor, RequestSetup};
--- a/crates/daemon/src/requests/outcome.rs
+++ b/crates/daemon/src/requests/outcome.rs
@@ -30,7 +30,7 @@
         let load = self.pools.load(&outstanding.backend);
         match &result {
             Ok(_) => load.succeeded(service.as_secs_f64() * 1_000.0, now),
-            Err(CallFailure::Cancelled | CallFailure::Deadline) => {}
+            Err(CallFailure::Cancelled | CallFailure::Deadline | CallFailure::Withheld) => {}
             Err(_) => load.failed(now),
         }
         let number = outstanding.request;
@@ -51,7 +51,14 @@
         }
         match result {
             Ok(output) => self.stage_done(cx, number, service, output),
-            Err(failure) => self.stage_failed(cx, number, failure),
+            Err(CallFailure::Withheld) => self.choose_anew(cx, number),
+            Err(failure) => {
+                let was_turned_away = matches!(failure, CallFailure::NotRun(_));
+                self.stage_failed(cx, number, failure);
+                if was_turned_away {
+                    self.refuse_too_late(cx);
+                }
+            }
         }
     }
 
@@ -125,6 +132,17 @@
         }
     }
 
+    /// The back end said after it was chosen that it rests or leaves. Nothing was sent, so that it
+    /// costs no attempt and no retry.
+    fn choose_anew(&mut self, cx: CX![], number: RequestNumber) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        request.call = None;
+        request.attempts = request.attempts.saturating_sub(1);
+        self.start_stage(cx, number);
+    }
+
     fn stage_failed(&mut self, cx: CX![], number: RequestNumber, failure: CallFailure) {
         let Some(request) = self.requests.get_mut(&number) else {
             return;
@@ -268,7 +286,7 @@
 /// The code of a failure that is not retried.
 fn failure_code(failure: &CallFailure, is_repeatable: bool) -> ResultCode {
     match failure {
-        CallFailure::NotRun(_) => ResultCode::BackendRefused,
+        CallFailure::NotRun(_) | CallFailure::Withheld => ResultCode::BackendRefused,
         CallFailure::Failed(_) => ResultCode::BackendFailed,
         CallFailure::Protocol(_) | CallFailure::Lost(_) | CallFailure::Cancelled
             if !is_repeatable =>
--- a/crates/daemon/src/requests/pools.rs
+++ b/crates/daemon/src/requests/pools.rs
@@ -79,6 +79,11 @@
         pool
     }
 
+    /// The pool of a stage that was queued before.
+    pub fn known_pool(&self, pipeline: &PipelineName, position: usize) -> Option<PoolId> {
+        self.of_stage.get(&(pipeline.clone(), position)).copied()
+    }
+
     /// Back ends of a pool.
     pub fn members(&self, pool: PoolId) -> &[BackendName] {
         self.specs
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -205,7 +205,7 @@
         backend: String,
         /// For how long.
         for_ms: u64,
-        /// What was answered: `request`, `batch`, `free` or `stage`.
+        /// What was answered: `request`, `batch`, `free`, `stage` or `load`.
         path: String,
     },
     /// A back end's rest is over.
--- a/crates/serving/src/notices.rs
+++ b/crates/serving/src/notices.rs
@@ -30,6 +30,8 @@
     Free,
     /// The answer to a stage of a pipeline.
     Stage,
+    /// The answer to the question for its load.
+    Load,
 }
 
 impl AnswerPath {
@@ -40,6 +42,7 @@
             AnswerPath::Batch => "batch",
             AnswerPath::Free => "free",
             AnswerPath::Stage => "stage",
+            AnswerPath::Load => "load",
         }
     }
 }
--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -14,6 +14,7 @@
 use silversail_daemon::{NodeError, Settings};
 use silversail_decisions::DecisionLog;
 use silversail_peer::GroupId;
+use silversail_serving::notices::BackendNotices;
 use stakker::Stakker;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -115,6 +116,7 @@
             state: SharedNodeState::default(),
             metrics,
             log: DecisionLog::off(),
+            stage_notices: BackendNotices::new(DecisionLog::off()),
             clock,
             directory: Rc::new(RefCell::new(directory)),
         };
