--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -58,6 +58,7 @@
         "usable",
         "evacuated",
         "rollouts",
+        "resting",
     ]);
     for state in states {
         let groups = state["groups"].as_object().into_iter().flatten();
@@ -70,6 +71,8 @@
         let evacuated: Vec<&str> = zones.filter_map(Value::as_str).collect();
         let rollouts = state["rollouts"].as_array().into_iter().flatten();
         let rollouts: Vec<String> = rollouts.map(summary_of).collect();
+        let resting = state["resting_backends"].as_array().into_iter().flatten();
+        let resting: Vec<&str> = resting.filter_map(|one| one["backend"].as_str()).collect();
         let text = |field: &str| match &state[field] {
             Value::Null => "-".to_owned(),
             Value::String(text) => text.clone(),
@@ -86,6 +89,7 @@
             usable.to_string(),
             evacuated.join(","),
             rollouts.join(","),
+            resting.join(","),
         ]);
     }
     table
--- a/crates/daemon/src/actors/builder.rs
+++ b/crates/daemon/src/actors/builder.rs
@@ -177,12 +177,13 @@
     }
 
     fn discovery(&mut self) -> ActorOwn<DiscoveryActor> {
+        let seed = self.platform.seed();
         let context = &self.context;
         let (directory, outbox) = (context.directory.clone(), context.outbox.clone());
         let clock = context.clock;
         actor!(
             self.stakker,
-            DiscoveryActor::init(directory, outbox, clock),
+            DiscoveryActor::init(directory, outbox, clock, seed),
             ret_nop!()
         )
     }
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -5,6 +5,8 @@
 use crate::directory::SharedDirectory;
 use crate::outbox::SharedOutbox;
 use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use silversail_consensus::Millis;
 use silversail_model::NodeName;
 use silversail_peer::{ContactsHeld, DiscoveryMessage, HeardContact, PeerMessage};
@@ -41,24 +43,29 @@
     ticks: u64,
     /// Which contact address is asked first, by lot.
     first_address: usize,
+    /// Lots; seeded, so that simulations repeat.
+    random: ChaCha8Rng,
     reconnected_at: BTreeMap<NodeName, Millis>,
 }
 
 impl DiscoveryActor {
-    /// Starts asking.
+    /// Starts asking. Lots are drawn by `seed`, which differs between nodes and starts.
     pub fn init(
         cx: CX![],
         directory: SharedDirectory,
         outbox: SharedOutbox,
         clock: Clock,
+        seed: u64,
     ) -> Option<Self> {
         after!(Duration::ZERO, [cx], tick());
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
         Some(Self {
             directory,
             outbox,
             clock,
             ticks: 0,
-            first_address: usize::from(rand::random::<u16>()),
+            first_address: usize::from(random.gen::<u16>()),
+            random,
             reconnected_at: BTreeMap::new(),
         })
     }
@@ -102,11 +109,12 @@
     }
 
     fn ask_some(&mut self) {
-        let mut random = rand::thread_rng();
         let (address, node) = {
             let directory = self.directory.borrow();
-            let address = directory.contact_addresses().choose(&mut random).cloned();
-            (address, directory.near_nodes().choose(&mut random).cloned())
+            let addresses = directory.contact_addresses();
+            let address = addresses.choose(&mut self.random).cloned();
+            let node = directory.near_nodes().choose(&mut self.random).cloned();
+            (address, node)
         };
         if let Some(address) = address {
             self.ask_address(address);
@@ -189,7 +197,7 @@
                 let directory = self.directory.borrow();
                 let (others, next) = directory.others_for(has, now);
                 let ages = match has == Some(next) {
-                    true => directory.ages_from(rand::random(), now),
+                    true => directory.ages_from(self.random.gen(), now),
                     false => Vec::new(),
                 };
                 let known = DiscoveryMessage::Known {
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -24,6 +24,7 @@
 use silversail_model::{Backend, BackendKind, BackendName, ResultCode};
 use silversail_peer::GroupId;
 use silversail_routing::SlotTable;
+use silversail_serving::notices::BackendNotices;
 use silversail_serving::ports::Protocols;
 use silversail_storage::{FolderLock, StorageError};
 use stakker::{actor, call, ret_nop, ActorOwn, Stakker};
@@ -71,6 +72,8 @@
     gateway: Option<Rc<GatewayRuntime>>,
     suspension_watch: SuspensionWatch,
     log: DecisionLog,
+    /// What back ends said of themselves: those of the gateway, and those of pipelines.
+    notices: [BackendNotices; 2],
     _lock: Option<FolderLock>,
 }
 
--- a/crates/daemon/src/node/operators.rs
+++ b/crates/daemon/src/node/operators.rs
@@ -5,10 +5,14 @@
 use crate::evacuation::{OrderCaller, ZoneOrder};
 use crate::replica::{GroupStatus, ProposalOutcome};
 use crate::rollout::{RolloutCaller, RolloutOutcome, RolloutRefused};
-use crate::surface::operators::{GroupBody, OperatorReply, OperatorRequest, StatusBody};
+use crate::surface::operators::{
+    GroupBody, OperatorReply, OperatorRequest, RestingBackend, StatusBody,
+};
 use serde_json::json;
+use silversail_consensus::Millis;
 use silversail_control::{ChangeOutcome, ChangeRequest, ControlCommand, EvacuationRevision};
 use silversail_model::ResultCode;
+use silversail_serving::notices::BackendNotices;
 use stakker::{call, ret_some_do};
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
@@ -215,9 +219,22 @@
                 .filter(|backend| state.is_leaving(&backend.address))
                 .map(|backend| backend.address.clone())
                 .collect(),
+            resting_backends: self.resting_backends(now),
+            leaving_backends: self
+                .notices
+                .iter()
+                .flat_map(BackendNotices::leaving)
+                .collect(),
             groups,
         }
     }
+
+    fn resting_backends(&self, now: Millis) -> Vec<RestingBackend> {
+        let resting = self.notices.iter().flat_map(|one| one.resting(now));
+        resting
+            .map(|(backend, for_ms)| RestingBackend { backend, for_ms })
+            .collect()
+    }
 }
 
 fn group_body(status: &GroupStatus) -> GroupBody {
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -66,6 +66,7 @@
     };
     let stage_listener = listener(BackendNotices::new(log.clone()));
     let notices = BackendNotices::new(log.clone());
+    let all_notices = [notices.clone(), stage_listener.notices.clone()];
     let gateway = match &settings.gateway {
         Some(gateway) => {
             let listener = listener(notices.clone());
@@ -126,6 +127,7 @@
         gateway: gateway.map(Rc::new),
         suspension_watch,
         log,
+        notices: all_notices,
         _lock: lock,
     })
 }
--- a/crates/daemon/src/replica/actor.rs
+++ b/crates/daemon/src/replica/actor.rs
@@ -45,7 +45,7 @@
     pub stored: Option<StoredState>,
     /// Timing.
     pub config: ConsensusConfig,
-    /// Seed of election timeouts.
+    /// Seed of election timeouts, and of the identity of a group that this replica forms.
     pub seed: u64,
     /// The replicated state.
     pub machine: Rc<RefCell<M>>,
--- a/crates/daemon/src/replica/joining.rs
+++ b/crates/daemon/src/replica/joining.rs
@@ -3,6 +3,8 @@
 
 use crate::replica::actor::{HeardJoin, ReplicaActor, State};
 use crate::replica::formation::FormationStep;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use silversail_consensus::{JoinRequest, Millis, ReplicaId, Snapshot, SnapshotMeta, StateMachine};
 use silversail_model::NodeName;
 use silversail_peer::{FormationMessage, GroupMessage};
@@ -80,7 +82,8 @@
         };
         let machine = self.setup.machine.clone();
         let first_data = || machine.borrow().snapshot();
-        let step = formation.on_reply(from, replica, formed, first_data, &mut rand::thread_rng());
+        let mut random = ChaCha8Rng::seed_from_u64(self.setup.seed);
+        let step = formation.on_reply(from, replica, formed, first_data, &mut random);
         self.formation_step(step, now);
     }
 
--- a/crates/daemon/src/requests/rests.rs
+++ b/crates/daemon/src/requests/rests.rs
@@ -55,6 +55,7 @@
             let back_at = pool.and_then(|pool| self.too_late_back_at(pool, deadline, now));
             too_late.extend(back_at.map(|back_at| (request.number, back_at)));
         }
+        too_late.sort_unstable();
         for (number, back_at) in too_late {
             self.refuse_until(cx, number, back_at);
         }
--- a/crates/daemon/src/surface/operators.rs
+++ b/crates/daemon/src/surface/operators.rs
@@ -157,10 +157,23 @@
     pub rollout_permit: bool,
     /// Addresses of machines that are leaving.
     pub leaving_machines: Vec<String>,
+    /// Back ends that asked this node for rest.
+    pub resting_backends: Vec<RestingBackend>,
+    /// Back ends that said in answers to this node that they leave.
+    pub leaving_backends: Vec<String>,
     /// Replicas of this process, by group.
     pub groups: BTreeMap<String, GroupBody>,
 }
 
+/// A back end at rest in [`StatusBody`].
+#[derive(Debug, Serialize)]
+pub struct RestingBackend {
+    /// Its identity; for back ends of pipelines their address.
+    pub backend: String,
+    /// Milliseconds until its rest is over.
+    pub for_ms: u64,
+}
+
 /// One replica in [`StatusBody`].
 #[derive(Debug, Serialize)]
 pub struct GroupBody {
--- a/crates/serving/src/batcher/makers.rs
+++ b/crates/serving/src/batcher/makers.rs
@@ -178,9 +178,14 @@
     /// Milliseconds until the first of a shard's makers is back from its rest; 0 where one does not
     /// rest.
     pub(super) fn rest_ms(&self, shard: &Shard, table: &InstanceTable, now: Millis) -> Millis {
-        let staying = table.of_shard(shard).filter(|one| one.takes_work());
-        let left = staying.map(|one| one.rest_left(now));
-        left.min().unwrap_or_default()
+        let mut first_back = None;
+        for maker in table.of_shard(shard).filter(|one| one.takes_work()) {
+            match maker.rest_left(now) {
+                0 => return 0,
+                left => first_back = Some(first_back.map_or(left, |known: Millis| known.min(left))),
+            }
+        }
+        first_back.unwrap_or_default()
     }
 
     fn is_refusing(&self, id: &str, now: Millis) -> bool {
--- a/crates/serving/src/notices.rs
+++ b/crates/serving/src/notices.rs
@@ -10,7 +10,7 @@
 use crate::Millis;
 use silversail_decisions::{DecisionLog, Event};
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -136,6 +136,9 @@
 #[derive(Clone)]
 pub struct BackendNotices {
     entries: Arc<Mutex<BTreeMap<InstanceId, Entry>>>,
+    /// How many entries have a rest whose end is to be logged, so that a look costs nothing where
+    /// there are none.
+    rests_to_log: Arc<AtomicUsize>,
     log: DecisionLog,
 }
 
@@ -144,6 +147,7 @@
     pub fn new(log: DecisionLog) -> Self {
         Self {
             entries: Arc::default(),
+            rests_to_log: Arc::default(),
             log,
         }
     }
@@ -176,7 +180,9 @@
             entry.notice.has_rested.store(true, Ordering::Release);
             if news.is_longer_rest {
                 entry.notice.rest_ms.store(length, Ordering::Release);
-                entry.rest_is_logged = true;
+                if !std::mem::replace(&mut entry.rest_is_logged, true) {
+                    self.rests_to_log.fetch_add(1, Ordering::AcqRel);
+                }
                 self.log.record(Event::RestBegan {
                     backend: id.to_owned(),
                     for_ms: length,
@@ -214,9 +220,13 @@
 
     /// Tells the log which rests are over.
     pub fn log_ended_rests(&self, now: Millis) {
+        if self.rests_to_log.load(Ordering::Acquire) == 0 {
+            return;
+        }
         for (id, entry) in self.lock().iter_mut() {
             if entry.rest_is_logged && !entry.notice.is_resting(now) {
                 entry.rest_is_logged = false;
+                self.rests_to_log.fetch_sub(1, Ordering::AcqRel);
                 self.log.record(Event::RestEnded {
                     backend: id.clone(),
                 });
@@ -233,17 +243,29 @@
             }
             let since = *entry.unlisted_since.get_or_insert(now);
             let has_said = entry.notice.is_leaving() || entry.notice.is_resting(now);
-            has_said && now.saturating_sub(since) < KEPT_UNLISTED_FOR
+            let is_kept = has_said && now.saturating_sub(since) < KEPT_UNLISTED_FOR;
+            if !is_kept && entry.rest_is_logged {
+                self.rests_to_log.fetch_sub(1, Ordering::AcqRel);
+            }
+            is_kept
         });
     }
 }
 
+/// The entry of a back end. Asked for at each answer and each send: names are copied for new ones
+/// only.
 fn entry<'a>(entries: &'a mut BTreeMap<InstanceId, Entry>, id: &str) -> &'a mut Entry {
-    entries.entry(id.to_owned()).or_insert_with(|| Entry {
-        notice: Arc::default(),
-        unlisted_since: None,
-        rest_is_logged: false,
-    })
+    if !entries.contains_key(id) {
+        let new = Entry {
+            notice: Arc::default(),
+            unlisted_since: None,
+            rest_is_logged: false,
+        };
+        entries.insert(id.to_owned(), new);
+    }
+    entries
+        .get_mut(id)
+        .expect("inserted above where it was absent")
 }
 
 /// A length in milliseconds, rounded up.
