An engine that turns everything away is no first choice any more

A whole answer to a plain request was never taken for a sign that its back end is sound, so that doublings of suspicion were never taken back there.

Whole answers clear what was believed.

--- a/crates/serving/examples/returns.rs
+++ b/crates/serving/examples/returns.rs
@@ -49,6 +49,8 @@
     returns: ReturnPolicy,
     /// Whether a rest that one node was asked for counts at all of them.
     told_to_all: bool,
+    /// Whether engines that turn a request away ask for rest.
+    asks: bool,
 }
 
 #[derive(Default)]
@@ -69,6 +71,7 @@
 
 struct Model {
     trouble: Trouble,
+    asks: bool,
     nodes: Vec<InstanceTable>,
     engines: Vec<Engine>,
     topology: Topology,
@@ -117,6 +120,7 @@
         };
         Self {
             trouble,
+            asks: way.asks,
             nodes: names.iter().map(table).collect(),
             engines: (0..ENGINES).map(|_| Engine::default()).collect(),
             topology: Topology::new("a", BTreeMap::new(), RoundTrips::default()).expect("valid"),
@@ -222,7 +226,7 @@
         let table = &mut self.nodes[node];
         let said = SelfReport {
             load: Some(load),
-            rest: Some(REST),
+            rest: self.asks.then_some(REST),
             ..SelfReport::default()
         };
         table.notices().hear(&id, AnswerPath::Request, &said, now);
@@ -252,32 +256,34 @@
     }
 }
 
-const fn way(first_alone: bool, spread: f64, told_to_all: bool) -> Way {
+const fn way(first_alone: bool, spread: f64, told_to_all: bool, asks: bool) -> Way {
     Way {
         returns: ReturnPolicy {
             first_alone,
             spread,
         },
         told_to_all,
+        asks,
     }
 }
 
-const WAYS: [Way; 8] = [
-    way(false, 0.0, false),
-    way(false, 0.5, false),
-    way(false, 1.0, false),
-    way(true, 0.0, false),
-    way(true, 0.25, false),
-    way(true, 0.5, false),
-    way(true, 1.0, false),
-    way(true, 1.0, true),
+const WAYS: [Way; 9] = [
+    way(false, 0.0, false, true),
+    way(false, 0.5, false, true),
+    way(false, 1.0, false, true),
+    way(true, 0.0, false, true),
+    way(true, 0.25, false, true),
+    way(true, 0.5, false, true),
+    way(true, 1.0, false, true),
+    way(true, 1.0, true, true),
+    way(true, 1.0, false, false),
 ];
 
 fn main() {
     let seeds = std::env::args().nth(1).and_then(|text| text.parse().ok());
     let seeds: u64 = seeds.unwrap_or(20);
     println!(
-        "trouble, nodes, first alone, spread, told to all: \
+        "trouble, nodes, first alone, spread, told to all, asked: \
          in time, turned away, in the 10 s after, sends a request, p90 ms"
     );
     for (name, trouble) in [("burst", Trouble::Burst), ("shedding", Trouble::Shedding)] {
@@ -307,9 +313,11 @@
         first_alone,
         spread,
     } = way.returns;
-    let told_to_all = way.told_to_all;
+    let Way {
+        told_to_all, asks, ..
+    } = way;
     println!(
-        "{name:8} {nodes:3} {first_alone:5} {spread:4} {told_to_all:5}: {:.4} {:8.1} {:8.1} {:.3} {p90}",
+        "{name:8} {nodes:3} {first_alone:5} {spread:4} {told_to_all:5} {asks:5}: {:.4} {:8.1} {:8.1} {:.3} {p90}",
         f64::from(sum.in_time) / asked,
         f64::from(sum.turned_away) / seeds as f64,
         f64::from(sum.turned_away_after) / seeds as f64,
--- a/crates/serving/src/dispatcher/outcomes.rs
+++ b/crates/serving/src/dispatcher/outcomes.rs
@@ -28,7 +28,12 @@
         if let Some(load) = load {
             self.instances.reported(&present.instance, load, now);
         }
+        // Of a stream its head said so, seconds before its end.
+        let is_whole_at_once = is_answer(outcome) && request.head_at.is_none();
         self.believe(&present.instance, outcome, now);
+        if is_whole_at_once {
+            self.instances.answered(&present.instance);
+        }
         self.count_outcome(number, &present, outcome, now);
         let mut actions = match outcome {
             SendOutcome::Delivered { status, is_whole } => {
@@ -252,6 +257,17 @@
     }
 }
 
+/// Whether the back end answered, with anything but a failure of its own.
+fn is_answer(outcome: SendOutcome) -> bool {
+    matches!(
+        outcome,
+        SendOutcome::Delivered {
+            status: 0..=499,
+            is_whole: true
+        }
+    )
+}
+
 /// Whether the connection to the back end may have broken off as the back end ended.
 fn broke_off(outcome: SendOutcome) -> bool {
     matches!(
