Repeated refusals double nothing: taken back

Cause of the trial: engines that turn all away without asking for rest are chosen again each 150 ms.

That a whole answer to a plain request shows a sound back end stays, with its test.

--- a/crates/serving/src/instances.rs
+++ b/crates/serving/src/instances.rs
@@ -23,9 +23,7 @@
 const SUSPECT_FOR: Millis = 500;
 /// Most doublings of it.
 const MAX_DOUBLINGS: u32 = 4;
-/// How long a back end that said it is full is passed over, in milliseconds. Each further time
-/// before it answers anything doubles the time in which others go before it. One that turns
-/// everything away tells that it runs nothing, and so would be the first choice again and again.
+/// How long a back end that said it is full is passed over, in milliseconds.
 const FULL_FOR: Millis = 150;
 /// How long a load report counts, in milliseconds.
 const REPORT_LIFETIME: Millis = 4_000;
@@ -69,13 +67,9 @@
     load: Option<(ReportedLoad, Millis)>,
     /// Requests of this node sent since that report.
     sent_since_report: u32,
-    /// How often it turned requests away since it last answered one.
-    refusals: u32,
     failures: u32,
     suspect_until: Millis,
     full_until: Millis,
-    /// Until when it is chosen only where no other can be, as it turned requests away again and again.
-    deferred_until: Millis,
     /// Until when it counts as gone, as another one answered at its address.
     misplaced_until: Millis,
     /// What it said of itself.
@@ -103,11 +97,9 @@
             tokens_in_flight: 0,
             load: None,
             sent_since_report: 0,
-            refusals: 0,
             failures: 0,
             suspect_until: 0,
             full_until: 0,
-            deferred_until: 0,
         }
     }
 
@@ -142,17 +134,12 @@
 
     /// Whether its rest is over and this node comes back to it a little later, as others do now:
     /// it may be chosen where no other can.
-    fn is_return_delayed(&self, now: Millis) -> bool {
+    pub fn is_return_delayed(&self, now: Millis) -> bool {
         let delay = self.return_plan.delay(self.notice.rest_ms());
         let returns_at = self.notice.rest_until().saturating_add(delay);
         self.notice.is_unproven(now) && now < returns_at
     }
 
-    /// Whether it takes requests, but is chosen only where no other can be.
-    pub fn is_deferred(&self, now: Millis) -> bool {
-        now < self.deferred_until || self.is_return_delayed(now)
-    }
-
     /// Until when others wait for the answer to the first request after a rest; 0 where none do.
     fn first_awaited_until(&self, now: Millis) -> Millis {
         let first_at = self.first_sent_after_rest_at;
@@ -173,12 +160,12 @@
 
     /// Whether it may be chosen at `now`.
     pub fn is_usable(&self, now: Millis) -> bool {
-        self.is_sound(now) && !self.is_held_back(now) && !self.is_deferred(now)
+        self.is_sound(now) && !self.is_held_back(now) && !self.is_return_delayed(now)
     }
 
     /// Whether it may be chosen at `now` where no other can.
     pub fn is_usable_at_last(&self, now: Millis) -> bool {
-        self.is_sound(now) && (self.is_held_back(now) || self.is_deferred(now))
+        self.is_sound(now) && (self.is_held_back(now) || self.is_return_delayed(now))
     }
 
     fn is_sound(&self, now: Millis) -> bool {
@@ -543,8 +530,6 @@
             return;
         };
         instance.suspect_until = 0;
-        instance.refusals = 0;
-        instance.deferred_until = 0;
         if std::mem::take(&mut instance.failures) > 0 {
             let listed = instance.listed.clone();
             self.record(&listed, "trusted", "answer");
@@ -569,8 +554,6 @@
             return;
         };
         instance.full_until = now + FULL_FOR;
-        instance.deferred_until = now + (FULL_FOR << instance.refusals.min(MAX_DOUBLINGS));
-        instance.refusals += 1;
         let listed = instance.listed.clone();
         self.record(&listed, "full", "answer");
     }
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -81,7 +81,7 @@
         .collect();
     let usable = bearing(table, usable, request.cold_use, now);
     let usable = if usable.is_empty() {
-        bearing(table, deferred(table, request, now), request.cold_use, now)
+        bearing(table, returning(table, request, now), request.cold_use, now)
     } else {
         usable
     };
@@ -153,14 +153,14 @@
     instances
 }
 
-/// Those that others go before, as they were at rest or full.
-fn deferred<'a>(
+/// Those whose rest is over and to which this node would come back a little later.
+fn returning<'a>(
     table: &'a InstanceTable,
     request: &SelectionRequest<'_>,
     now: Millis,
 ) -> Vec<&'a Instance> {
     let of_service = table.of_service(request.service);
-    let allowed = of_service.filter(|one| request.allows(one) && one.is_deferred(now));
+    let allowed = of_service.filter(|one| request.allows(one) && one.is_return_delayed(now));
     let untried = allowed.filter(|one| !request.tried.contains(&one.listed.id));
     untried.filter(|one| one.is_usable_at_last(now)).collect()
 }
