Emulated back ends turn calls away for a while, ask for rest, or say that they leave

Cause: no emulated back end of pipelines shed with a rest, so that nobody could see what the product does about it.

Change: a conduct over time in the emulator's files (shares of calls turned away, rests, leaving) for engines and services; two tests with generations: an engine that is sound long before its rest is over gets nothing until then, and one that says it leaves gets no more.

--- a/crates/daemon/tests/resting_backends.rs
+++ b/crates/daemon/tests/resting_backends.rs
@@ -7,6 +7,8 @@
 use common::{document, post, Bench};
 use rstest::rstest;
 use serde_json::{json, Value};
+use silversail_testbed::cluster::wait_until;
+use silversail_testbed::emulate::conduct::{ConductConfig, ShedConfig};
 use silversail_testbed::ClusterOptions;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -185,3 +187,71 @@
     // Its deadline is 3 s away.
     assert!(took < Duration::from_secs(1), "{took:?}");
 }
+
+/// The engine that ran the last stage of a pipeline, and how often it was tried.
+fn engine_of(answer: &Value) -> Option<(String, u64)> {
+    let last = answer["stages"].as_array()?.last()?;
+    let backend = last["backend"].as_str()?.to_owned();
+    Some((backend, last["attempts"].as_u64()?))
+}
+
+/// Asks one process for generations until `ends`; the engine of each that was served, in order.
+fn generations(
+    bench: &Bench,
+    mut ends: impl FnMut(&[(String, u64)]) -> bool,
+) -> Vec<(String, u64)> {
+    let address = bench.addresses()[0];
+    let mut seen = Vec::new();
+    wait_until(Duration::from_secs(20), || {
+        let body = json!({ "tenant": "desk", "input": "x" }).to_string();
+        let (status, answer) = post(address, "/v1/pipelines/chat/requests", &body);
+        if status == 200 {
+            seen.extend(engine_of(&answer));
+        }
+        ends(&seen)
+    });
+    seen
+}
+
+/// It turns calls away for a moment only, and is sound long before its rest is over.
+#[test]
+fn told_in_answers_a_pipelines_engine_rests_for_as_long_as_it_asked() {
+    const LENGTH: Duration = Duration::from_secs(4);
+    let bench = Bench::start(ClusterOptions::new(3, 3));
+    bench.emulator.faults["engine-1"].set_conduct(ConductConfig {
+        sheds: vec![ShedConfig {
+            from_ms: 0,
+            for_ms: 1_000,
+            percent: 100,
+            rest_ms: Some(LENGTH.as_millis() as u64),
+        }],
+        leaves_after_ms: None,
+    });
+    let was_turned_away = |seen: &[(String, u64)]| seen.iter().any(|(_, tries)| *tries > 1);
+    let until_asked = generations(&bench, was_turned_away);
+    assert!(
+        was_turned_away(&until_asked),
+        "never turned away: {until_asked:?}"
+    );
+    let asked_at = Instant::now();
+    let came_back = |seen: &[(String, u64)]| seen.iter().any(|(engine, _)| engine == "engine-1");
+    let after = generations(&bench, came_back);
+    assert!(came_back(&after), "never again");
+    let rested = asked_at.elapsed();
+    assert!(rested >= LENGTH - Duration::from_millis(500), "{rested:?}");
+}
+
+#[test]
+fn told_in_answers_a_pipelines_engine_that_leaves_gets_no_generation() {
+    let bench = Bench::start(ClusterOptions::new(3, 3));
+    bench.emulator.faults["engine-1"].set_conduct(ConductConfig {
+        sheds: Vec::new(),
+        leaves_after_ms: Some(0),
+    });
+    let began = Instant::now();
+    let seen = generations(&bench, |_| began.elapsed() > Duration::from_secs(4));
+    let at_leaving = seen.iter().filter(|(engine, _)| engine == "engine-1");
+    let at_leaving = at_leaving.count();
+    assert!(at_leaving <= 1, "{at_leaving} of {}", seen.len());
+    assert!(seen.len() > 20, "{}", seen.len());
+}
--- /dev/null
+++ b/crates/testbed/src/emulate/conduct.rs
@@ -0,0 +1,95 @@
+//! Emulated back ends that turn calls away for a while and ask for rest, or say that they leave.
+
+use serde::Deserialize;
+use silversail_http::ResponseHead;
+use std::time::Instant;
+
+const JSON: &str = "application/json";
+const RETRY_AFTER: &str = "retry-after";
+const LEAVING: &str = "silversail-leaving";
+
+/// A time in which a back end turns calls away.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ShedConfig {
+    /// When it begins, in milliseconds since the start.
+    pub from_ms: u64,
+    /// How long it lasts, in milliseconds.
+    pub for_ms: u64,
+    /// Share of the calls that are turned away, in hundredths.
+    #[serde(default = "all")]
+    pub percent: u64,
+    /// The rest that is asked for, in milliseconds; none where nothing is said.
+    #[serde(default)]
+    pub rest_ms: Option<u64>,
+}
+
+fn all() -> u64 {
+    100
+}
+
+/// What a back end says of itself over time.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ConductConfig {
+    /// When it turns calls away.
+    pub sheds: Vec<ShedConfig>,
+    /// From when it says in all answers that it leaves, in milliseconds since the start.
+    pub leaves_after_ms: Option<u64>,
+}
+
+/// The conduct of a back end that runs.
+#[derive(Debug)]
+pub struct Conduct {
+    config: ConductConfig,
+    started: Instant,
+    calls: u64,
+}
+
+impl Default for Conduct {
+    fn default() -> Self {
+        Self::start(ConductConfig::default())
+    }
+}
+
+impl Conduct {
+    /// Starts now.
+    pub fn start(config: ConductConfig) -> Self {
+        Self {
+            config,
+            started: Instant::now(),
+            calls: 0,
+        }
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// The answer to a call that is turned away; none where it is taken. Of a share every n-th is.
+    pub fn turn_away(&mut self) -> Option<ResponseHead> {
+        let now = self.elapsed_ms();
+        let is_on = |shed: &&ShedConfig| (shed.from_ms..shed.from_ms + shed.for_ms).contains(&now);
+        let shed = self.config.sheds.iter().find(is_on)?;
+        let number = self.calls;
+        self.calls += 1;
+        if (number + 1) * shed.percent / 100 == number * shed.percent / 100 {
+            return None;
+        }
+        let mut head = ResponseHead::new(503, JSON);
+        if let Some(rest) = shed.rest_ms {
+            let seconds = rest as f64 / 1_000.0;
+            head.headers.push((RETRY_AFTER, seconds.to_string()));
+        }
+        Some(self.marked(head))
+    }
+
+    /// A head with what is said in all answers now.
+    pub fn marked(&self, mut head: ResponseHead) -> ResponseHead {
+        let leaves_after = self.config.leaves_after_ms;
+        if leaves_after.is_some_and(|after| self.elapsed_ms() >= after) {
+            head.headers.push((LEAVING, "1".to_owned()));
+        }
+        head
+    }
+}
--- a/crates/testbed/src/emulate/config.rs
+++ b/crates/testbed/src/emulate/config.rs
@@ -1,5 +1,6 @@
 //! What is emulated.
 
+use super::conduct::ConductConfig;
 use super::weights::WeightStoreConfig;
 use serde::Deserialize;
 use std::path::PathBuf;
@@ -59,6 +60,9 @@
     /// How old a load report is, in milliseconds.
     #[serde(default = "default_load_lag_ms")]
     pub load_lag_ms: u64,
+    /// What it says of itself over time.
+    #[serde(default)]
+    pub conduct: ConductConfig,
 }
 
 fn default_engine_slots() -> usize {
@@ -96,6 +100,9 @@
     /// Whether calls go to the run log.
     #[serde(default)]
     pub logged: bool,
+    /// What it says of itself over time.
+    #[serde(default)]
+    pub conduct: ConductConfig,
 }
 
 fn default_service_slots() -> usize {
--- a/crates/testbed/src/emulate/engine.rs
+++ b/crates/testbed/src/emulate/engine.rs
@@ -111,21 +111,25 @@
 
     fn complete(&self, request: Request, responder: Responder) {
         let Ok(body) = serde_json::from_slice::<CompletionBody>(&request.body) else {
-            responder.respond(ResponseHead::new(400, JSON), b"{}".to_vec());
+            responder.respond(self.faults.head(400, JSON), b"{}".to_vec());
             return;
         };
+        if let Some(head) = self.faults.turn_away() {
+            responder.respond(head, b"{}".to_vec());
+            return;
+        }
         let held = self.models.as_ref().map(ModelHolder::held);
         if held.is_some_and(|held| !held.contains(&body.model)) {
-            responder.respond(ResponseHead::new(404, JSON), b"{}".to_vec());
+            responder.respond(self.faults.head(404, JSON), b"{}".to_vec());
             return;
         }
         match self.faults.mode() {
             FaultMode::Refuse => {
-                responder.respond(ResponseHead::new(503, JSON), b"{}".to_vec());
+                responder.respond(self.faults.head(503, JSON), b"{}".to_vec());
                 return;
             }
             FaultMode::Error => {
-                responder.respond(ResponseHead::new(500, JSON), b"{}".to_vec());
+                responder.respond(self.faults.head(500, JSON), b"{}".to_vec());
                 return;
             }
             _ => {}
@@ -135,7 +139,7 @@
             resume(&mut state, &body.request_id, from, responder);
             return;
         }
-        responder.head(ResponseHead::new(200, EVENT_STREAM));
+        responder.head(self.faults.head(200, EVENT_STREAM));
         state.arrivals += 1;
         let cached = state.cache.take(&body.prompt, self.config.cache_tokens);
         let prompt_tokens = (body.prompt.chars().count() / 4).max(1) as u32;
@@ -173,7 +177,7 @@
             .map(ModelHolder::held)
             .unwrap_or_default();
         let body = json!({ "running": running, "waiting": waiting, "models": models }).to_string();
-        responder.respond(ResponseHead::new(200, JSON), body.into_bytes());
+        responder.respond(self.faults.head(200, JSON), body.into_bytes());
     }
 
     fn order(&self, request: Request, responder: Responder) {
@@ -182,7 +186,7 @@
             (Some(models), Ok(body)) => models.order(&body),
             _ => 400,
         };
-        responder.respond(ResponseHead::new(status, JSON), b"{}".to_vec());
+        responder.respond(self.faults.head(status, JSON), b"{}".to_vec());
     }
 
     fn cancel(&self, request: Request, responder: Responder) {
--- a/crates/testbed/src/emulate/faults.rs
+++ b/crates/testbed/src/emulate/faults.rs
@@ -1,5 +1,7 @@
 //! Faults of an emulated back end, changed while it runs.
 
+use super::conduct::{Conduct, ConductConfig};
+use silversail_http::ResponseHead;
 use std::sync::Mutex;
 
 /// How calls are answered.
@@ -27,6 +29,7 @@
 struct State {
     mode: FaultMode,
     slowdown: f64,
+    conduct: Conduct,
 }
 
 /// Faults of one back end.
@@ -38,6 +41,7 @@
         Self(Mutex::new(State {
             mode: FaultMode::None,
             slowdown: 1.0,
+            conduct: Conduct::default(),
         }))
     }
 }
@@ -53,6 +57,22 @@
         self.0.lock().expect("not poisoned").mode = mode;
     }
 
+    /// Changes what it says of itself, from now on.
+    pub fn set_conduct(&self, conduct: ConductConfig) {
+        self.0.lock().expect("not poisoned").conduct = Conduct::start(conduct);
+    }
+
+    /// The answer to a call that is turned away; none where it is taken.
+    pub fn turn_away(&self) -> Option<ResponseHead> {
+        self.0.lock().expect("not poisoned").conduct.turn_away()
+    }
+
+    /// The head of an answer, with what is said in all of them.
+    pub fn head(&self, status: u16, content_type: &'static str) -> ResponseHead {
+        let head = ResponseHead::new(status, content_type);
+        self.0.lock().expect("not poisoned").conduct.marked(head)
+    }
+
     /// Factor on service times.
     pub fn slowdown(&self) -> f64 {
         self.0.lock().expect("not poisoned").slowdown
--- a/crates/testbed/src/emulate/service.rs
+++ b/crates/testbed/src/emulate/service.rs
@@ -71,19 +71,27 @@
     }
 
     fn reject(&self, _reason: RejectReason, _head: &Request) -> (ResponseHead, Vec<u8>) {
-        (ResponseHead::new(503, JSON), b"{\"not_run\":true}".to_vec())
+        (
+            self.shared.faults.head(503, JSON),
+            b"{\"not_run\":true}".to_vec(),
+        )
     }
 }
 
 impl Shared {
     async fn call(&self, request: Request, responder: Responder) {
         let Ok(body) = serde_json::from_slice::<CallBody>(&request.body) else {
-            responder.respond(ResponseHead::new(400, JSON), b"{}".to_vec());
+            responder.respond(self.faults.head(400, JSON), b"{}".to_vec());
             return;
         };
+        if let Some(head) = self.faults.turn_away() {
+            let refusal = json!({ "not_run": true }).to_string();
+            responder.respond(head, refusal.into_bytes());
+            return;
+        }
         if self.faults.mode() == FaultMode::Refuse {
             let refusal = json!({ "not_run": true }).to_string();
-            responder.respond(ResponseHead::new(503, JSON), refusal.into_bytes());
+            responder.respond(self.faults.head(503, JSON), refusal.into_bytes());
             return;
         }
         let Ok(_slot) = self.slots.acquire().await else {
@@ -119,11 +127,11 @@
             FaultMode::None | FaultMode::Refuse => body.attempt,
             FaultMode::WrongAttempt => format!("other-{}", body.attempt),
             FaultMode::Error => {
-                responder.respond(ResponseHead::new(500, JSON), b"{}".to_vec());
+                responder.respond(self.faults.head(500, JSON), b"{}".to_vec());
                 return;
             }
             FaultMode::Garbage => {
-                responder.respond(ResponseHead::new(200, JSON), b"<html>".to_vec());
+                responder.respond(self.faults.head(200, JSON), b"<html>".to_vec());
                 return;
             }
             FaultMode::Hang => {
@@ -132,7 +140,7 @@
             }
             FaultMode::Cut => {
                 // The connection breaks inside the body.
-                responder.head(ResponseHead::new(200, JSON));
+                responder.head(self.faults.head(200, JSON));
                 responder.chunk(b"{\"attempt\":".to_vec());
                 tokio::time::sleep(Duration::from_millis(5)).await;
                 return;
@@ -143,9 +151,6 @@
             "output": { "by": self.config.name, "stage": body.stage, "input": body.input },
             "cost_ms": service_ms,
         });
-        responder.respond(
-            ResponseHead::new(200, JSON),
-            answer.to_string().into_bytes(),
-        );
+        responder.respond(self.faults.head(200, JSON), answer.to_string().into_bytes());
     }
 }
