Tests: one reader of calls for the back ends that tests write

Cause: two files read calls with the same twenty lines, and the seeds wrote again how an order of pieces is made.

Change: both in the tests' common folders. No check is touched.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A cluster of real processes with emulated back ends, for integration tests.
 #![allow(dead_code)]
 
+pub mod backends;
+
 use serde_json::{json, Value};
 use silversail_testbed::emulate::{EngineConfig, PlatformConfig, ServiceConfig};
 use silversail_testbed::{CallOptions, Caller, Cluster, ClusterOptions, Emulator, EmulatorConfig};
--- a/crates/daemon/tests/crashing_requests.rs
+++ b/crates/daemon/tests/crashing_requests.rs
@@ -3,11 +3,12 @@
 
 mod common;
 
+use common::backends::read_call;
 use common::{document, post, Bench};
-use serde_json::{json, Value};
+use serde_json::json;
 use silversail_testbed::cluster::wait_until;
 use silversail_testbed::ClusterOptions;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -74,27 +75,6 @@
     false
 }
 
-fn read_call(stream: &TcpStream) -> Option<Value> {
-    let mut reader = BufReader::new(stream);
-    let mut length = 0;
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        let line = line.trim().to_ascii_lowercase();
-        if let Some(value) = line.strip_prefix("content-length:") {
-            length = value.trim().parse().ok()?;
-        }
-        if line.is_empty() {
-            break;
-        }
-    }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    serde_json::from_slice(&body).ok()
-}
-
 #[test]
 fn a_pipelines_request_that_crashed_three_back_ends_is_refused_everywhere() {
     let bench = Bench::start(ClusterOptions::new(3, 3));
--- a/crates/daemon/tests/resting_backends.rs
+++ b/crates/daemon/tests/resting_backends.rs
@@ -4,13 +4,14 @@
 
 mod common;
 
+use common::backends::read_call;
 use common::{document, post, Bench};
 use rstest::rstest;
 use serde_json::{json, Value};
 use silversail_testbed::cluster::wait_until;
 use silversail_testbed::emulate::conduct::{ConductConfig, ShedConfig};
 use silversail_testbed::ClusterOptions;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -85,27 +86,6 @@
     let _ = stream.write_all((head + &body).as_bytes());
 }
 
-fn read_call(stream: &TcpStream) -> Option<Value> {
-    let mut reader = BufReader::new(stream);
-    let mut length = 0;
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        let line = line.trim().to_ascii_lowercase();
-        if let Some(value) = line.strip_prefix("content-length:") {
-            length = value.trim().parse().ok()?;
-        }
-        if line.is_empty() {
-            break;
-        }
-    }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    serde_json::from_slice(&body).ok()
-}
-
 /// A cluster whose pipeline runs at back ends of this conduct; what reaches each of them.
 fn bench_with(conducts: &[Conduct]) -> (Bench, Vec<Arrivals>) {
     let bench = Bench::start(ClusterOptions::new(3, 3));
--- a/crates/serving/tests/rest_seeds.rs
+++ b/crates/serving/tests/rest_seeds.rs
@@ -7,13 +7,14 @@
 
 mod common;
 
+use common::batches::work;
 use common::{batch_spec, call_of, in_zone, instances, traffic, LIMITS};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use silversail_decisions::DecisionLog;
-use silversail_model::{RequestFingerprint, Shard};
-use silversail_peer::{ListedInstance, PhaseWork, Piece, PieceSource, ResultHandle};
+use silversail_model::Shard;
+use silversail_peer::{ListedInstance, ResultHandle};
 use silversail_serving::batcher::{BatchCall, Batcher, CallOutcome, OrderKey};
 use silversail_serving::dispatcher::{
     Action, Dispatcher, NotRunReason, SendOutcome, SendPlan, UnknownReason,
@@ -119,27 +120,6 @@
     }
 }
 
-fn order(number: u64) -> PhaseWork {
-    let piece = |index| Piece {
-        request: format!("r{number}"),
-        phase: 0,
-        index,
-        source: PieceSource::Key("k".into()),
-        result_bytes: 1_000,
-    };
-    PhaseWork {
-        shard: Shard::whole("encode"),
-        pieces: (0..2).map(piece).collect(),
-        fingerprint: RequestFingerprint::default(),
-        priority: 1,
-        zone: String::new(),
-        moved_bytes: 0,
-        regions: silversail_model::topology::RegionFilter::any(),
-        wanted_in_ms: 1_000,
-        remaining_ms: 3_000,
-    }
-}
-
 /// What an answer says: mostly nothing, else a rest, or that its sender leaves.
 fn said(random: &mut ChaCha8Rng) -> SelfReport {
     let mut said = SelfReport::default();
@@ -227,7 +207,7 @@
             };
             let table = &node.dispatcher.instances;
             // A refusal is an answer too.
-            let _ = node.batcher.submit(key, order(number), table, now);
+            let _ = node.batcher.submit(key, work(number, 2), table, now);
             node.start_calls(now);
         }
         70..=81 if !node.calls.is_empty() => {
