Sight: what back ends say of limits, and what of themselves nobody reads

Change: the head of each answer is decoded into the limit that it names too (requests a second, the lowest of several, texts that can't be read told as such), from requests, batch calls, calls that free results and the pipelines' own path. limit_changed says who names which limit, in which kind of answer. Headers of the families by which engines speak of themselves that the decoder does not know are told once a name, 32 at most (unknown_header), and counted. Nothing is decided by it: no change of logic.

--- a/crates/backend/src/guard.rs
+++ b/crates/backend/src/guard.rs
@@ -1,11 +1,13 @@
 //! What is asked before a call leaves for a back end, and what its answers say of it.
 
 use crate::call::CallFailure;
-use silversail_model::RequestedRest;
+use silversail_model::{NamedLimit, RequestedRest};
 use std::time::Duration;
 
 /// Header by which a back end says in an answer that it leaves; its value is `1`.
 const LEAVING: &str = "silversail-leaving";
+/// Header by which a back end names how many requests a second it takes from all nodes together.
+const LIMIT: &str = "silversail-limit";
 const RETRY_AFTER: &str = "retry-after";
 /// Statuses by which a back end turns a call away.
 const TURNED_AWAY: [u16; 2] = [429, 503];
@@ -19,6 +21,8 @@
     pub has_unreadable_rest: bool,
     /// Whether it leaves.
     pub is_leaving: bool,
+    /// How many requests it takes from all nodes together.
+    pub limit: NamedLimit,
 }
 
 /// Stands between calls and one back end.
@@ -74,5 +78,6 @@
         rest: rest.longest,
         has_unreadable_rest: rest.is_unreadable,
         is_leaving: head.all(LEAVING).contains(&"1"),
+        limit: NamedLimit::read(head.all(LIMIT)),
     }
 }
--- a/crates/daemon/src/call_guard.rs
+++ b/crates/daemon/src/call_guard.rs
@@ -30,11 +30,10 @@
     fn heard(&self, report: &HeadReport) {
         let until_gone = report.is_leaving.then_some(LEAVING_FOR);
         let said = SelfReport {
-            load: None,
             rest: report.rest.max(until_gone),
             has_unreadable_rest: report.has_unreadable_rest,
-            has_unreadable_pace: false,
-            is_leaving: false,
+            limit: report.limit,
+            ..SelfReport::default()
         };
         self.listener.heard(self.address, self.path, &said);
     }
--- a/crates/daemon/src/gateway/notices.rs
+++ b/crates/daemon/src/gateway/notices.rs
@@ -47,5 +47,14 @@
         if news.is_leaving {
             count("leaving");
         }
+        if news.is_other_limit {
+            count("limit");
+        }
+        if said.limit.is_unreadable {
+            count("unreadable_limit");
+        }
+        if !said.unknown.is_empty() {
+            count("unknown_header");
+        }
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -224,7 +224,7 @@
             ),
             backend_notices: counter(
                 "silversail_backend_notices_total",
-                "Rests and leaving that back ends told of in answers",
+                "What back ends said of themselves in answers",
                 &["kind", "path"],
             ),
             sends_withheld: counter(
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -229,6 +229,27 @@
         /// What was answered, as in `rest_began`.
         path: String,
     },
+    /// How many requests a second a back end takes from all nodes together is another than
+    /// before, by what this node knows.
+    LimitChanged {
+        /// The back end.
+        backend: String,
+        /// Requests a second before; none where it had no limit.
+        before: Option<f64>,
+        /// Requests a second from now on; none where it has no limit any more.
+        per_second: Option<f64>,
+        /// What was answered, as in `rest_began`; `peer` where another node told.
+        path: String,
+        /// The node that told so; empty where the back end did.
+        told_by: String,
+    },
+    /// A back end says something of itself that this node can't read; told once for each name.
+    UnknownHeader {
+        /// The back end that said it first.
+        backend: String,
+        /// Name of the header.
+        name: String,
+    },
     /// Other entries of the list of back ends than before name none; told by the node that read it.
     ListEntriesLeftOut {
         /// Why, each with how many; none where all name one again.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod configuration;
 pub mod fingerprint;
 pub mod identifiers;
+pub mod rate;
 pub mod rest;
 pub mod selector;
 pub mod shard;
@@ -19,6 +20,7 @@
 };
 pub use fingerprint::{ContentDigest, RequestFingerprint};
 pub use identifiers::{BackendName, ChangeId, NodeName, PipelineName, StageName, TenantName};
+pub use rate::{NamedLimit, RequestRate};
 pub use rest::RequestedRest;
 pub use selector::{Labels, Operator, Requirement, Selector};
 pub use shard::{Shard, ShardPlace};
--- a/crates/serving/src/notices.rs
+++ b/crates/serving/src/notices.rs
@@ -9,7 +9,8 @@
 use crate::ports::SelfReport;
 use crate::Millis;
 use silversail_decisions::{DecisionLog, Event};
-use std::collections::BTreeMap;
+use silversail_model::RequestRate;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -19,6 +20,9 @@
 /// far more than back ends take to leave, and a back end takes some 200 bytes.
 const KEPT_UNLISTED_FOR: Millis = 600_000;
 
+/// Names of headers that are told of as unknown at most; further ones are not told.
+const MOST_UNKNOWN_NAMES: usize = 32;
+
 /// The kind of exchange in which a back end said something.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerPath {
@@ -54,6 +58,8 @@
     pub is_longer_rest: bool,
     /// It said for the first time that it leaves.
     pub is_leaving: bool,
+    /// It named another limit than before.
+    pub is_other_limit: bool,
 }
 
 /// Why nothing may be sent to a back end, as it said so itself.
@@ -129,6 +135,8 @@
     notice: Arc<Notice>,
     /// Whether the log has the beginning of a rest and not its end.
     rest_is_logged: bool,
+    /// The limit that it named last.
+    named_limit: Option<RequestRate>,
 }
 
 #[derive(Default)]
@@ -160,6 +168,8 @@
     /// How many entries have a rest whose end is to be logged, so that a look costs nothing where
     /// there are none.
     rests_to_log: Arc<AtomicUsize>,
+    /// Names of headers that were told of as unknown.
+    unknown_names: Arc<Mutex<BTreeSet<String>>>,
     log: DecisionLog,
 }
 
@@ -169,6 +179,7 @@
         Self {
             entries: Arc::default(),
             rests_to_log: Arc::default(),
+            unknown_names: Arc::default(),
             log,
         }
     }
@@ -220,9 +231,41 @@
                 });
             }
         }
+        if let Some(limit) = said.limit.lowest {
+            let before = entry.named_limit.replace(limit);
+            news.is_other_limit = before != Some(limit);
+            if news.is_other_limit {
+                self.log.record(Event::LimitChanged {
+                    backend: id.to_owned(),
+                    before: before.map(RequestRate::requests_per_second),
+                    per_second: Some(limit.requests_per_second()),
+                    path: path.name().to_owned(),
+                    told_by: String::new(),
+                });
+            }
+        }
+        drop(entries);
+        self.note_unknown(id, &said.unknown);
         news
     }
 
+    fn note_unknown(&self, id: &str, names: &[String]) {
+        if names.is_empty() {
+            return;
+        }
+        let known = self.unknown_names.lock();
+        let mut known = known.unwrap_or_else(|poisoned| poisoned.into_inner());
+        for name in names {
+            if known.len() >= MOST_UNKNOWN_NAMES || !known.insert(name.clone()) {
+                continue;
+            }
+            self.log.record(Event::UnknownHeader {
+                backend: id.to_owned(),
+                name: name.clone(),
+            });
+        }
+    }
+
     /// Those that rest at `now`, each with the milliseconds that remain.
     pub fn resting(&self, now: Millis) -> Vec<(InstanceId, Millis)> {
         let entries = self.lock();
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -2,7 +2,7 @@
 //! implements them; nothing else knows the protocols' names.
 
 use http::{HeaderMap, Method, Uri};
-use silversail_model::{ContentDigest, ResultCode, TrafficConfiguration};
+use silversail_model::{ContentDigest, NamedLimit, ResultCode, TrafficConfiguration};
 pub use silversail_peer::ListedInstance;
 use silversail_peer::{Piece, PieceFailure, ResultHandle};
 pub use silversail_rollout::{Directive, Rollout, RolloutOrder, RolloutState, Verdict};
@@ -102,7 +102,7 @@
 }
 
 /// What a back end says of itself in the head of an answer, whatever the answer is to.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SelfReport {
     /// Its load, where told.
     pub load: Option<ReportedLoad>,
@@ -115,6 +115,10 @@
     pub has_unreadable_pace: bool,
     /// Whether it says that it leaves and takes nothing new.
     pub is_leaving: bool,
+    /// How many requests it takes from all nodes together, for as long as it says so.
+    pub limit: NamedLimit,
+    /// Names of headers by which it says something of itself that is not known here.
+    pub unknown: Vec<String>,
 }
 
 /// What the head of an engine's answer says.
--- a/crates/serving/tests/notices.rs
+++ b/crates/serving/tests/notices.rs
@@ -2,6 +2,7 @@
 
 use rstest::rstest;
 use silversail_decisions::DecisionLog;
+use silversail_model::{NamedLimit, RequestRate};
 use silversail_serving::notices::{AnswerPath, BackendNotices, News};
 use silversail_serving::ports::SelfReport;
 use std::time::Duration;
@@ -120,3 +121,23 @@
     notices.forget_unlisted(LONG);
     assert!(!notices.of("e1").is_leaving());
 }
+
+#[test]
+fn a_limit_is_news_where_it_is_another_than_the_one_named_before() {
+    let named = |requests| SelfReport {
+        limit: NamedLimit {
+            lowest: RequestRate::per_second(requests),
+            is_unreadable: false,
+        },
+        ..SelfReport::default()
+    };
+    let notices = notices();
+    let hear = |said: &SelfReport| {
+        let news = notices.hear("e1", AnswerPath::Request, said, 1_000);
+        news.is_other_limit
+    };
+    assert!(hear(&named(1.0)));
+    assert!(!hear(&named(1.0)));
+    assert!(!hear(&SelfReport::default()));
+    assert!(hear(&named(0.5)));
+}
--- a/crates/serving/tests/rests.rs
+++ b/crates/serving/tests/rests.rs
@@ -6,7 +6,7 @@
 use common::{call, call_of, dispatcher, dispatcher_with, in_zone, instances, list_of, traffic};
 use rstest::rstest;
 use silversail_decisions::DecisionLog;
-use silversail_model::ResultCode;
+use silversail_model::{NamedLimit, ResultCode};
 use silversail_peer::{ListedInstance, PieceFailure, ResultHandle};
 use silversail_serving::dispatcher::{
     Action, Dispatcher, NotRunReason, Refusal, SendOutcome, UnknownReason,
@@ -39,6 +39,11 @@
     has_unreadable_rest: false,
     has_unreadable_pace: false,
     is_leaving: true,
+    limit: NamedLimit {
+        lowest: None,
+        is_unreadable: false,
+    },
+    unknown: Vec::new(),
 };
 
 fn hear(table: &InstanceTable, ids: &[&str], said: &SelfReport, now: u64) {
