Limits: permits for a back end that names one, issued by one node as fast as the limit allows

Callers and engines: an engine in need that named 1 request a second from all machines together got 12 and 15 in 4 s from machines it had told; 11 are allowed. Cause: what it names was heard nowhere, and the bound is a sum that no node can keep alone: nine that each send 1 a second send 36.

Change: a package of its own, limits, pure. One node, by rendezvous hash of the view, issues permits for a back end at its limit, to those nodes at which requests wait, one after the other. A request takes one directly before its bytes leave, on every path of the gateway; what is not sent gives it back; one lapses after 0.8 s. A limit is lifted only by a sound answer to a request that had a permit later than the last one that named it, so that no answer that crosses another lifts it; a lower one holds at once. Once lifted, the rate doubles each half second for 3 s. Requests that only limited engines may have wait for permits, the most urgent first, and are refused at once (2116) with the time of a permit where none comes in time. Batches take permits too; results are not freed by calls to limited makers. Owners' forecasts count limited makers by their limits.

Conclusion: the class (a sum over machines kept by each alone) has its first keeper; the pipelines' own path hears and tells limits and does not keep them yet.

--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -186,6 +186,11 @@
                     call!([gateway], work(from, message));
                 }
             }
+            PeerMessage::Limits(message) => {
+                if let Some(gateway) = &self.gateway {
+                    call!([gateway], limits(from, message));
+                }
+            }
         }
     }
 
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -23,6 +23,7 @@
 use silversail_consensus::Millis;
 use silversail_control::{EvacuationRevision, RolloutsRevision};
 use silversail_decisions::DecisionLog;
+use silversail_limits::PermitIssuer;
 use silversail_model::{Distance, NodeName, ResultCode, Shard, Topology};
 use silversail_peer::{ListingVersion, ShardWaits, WorkId};
 use silversail_quarantine::QuarantineRevision;
@@ -133,6 +134,8 @@
     pub(super) view_changes: u64,
     /// The usable nodes of the last view.
     pub(super) usable_nodes: BTreeSet<String>,
+    /// Permits for the back ends whose issuer this node is.
+    pub(super) permit_issuer: PermitIssuer,
     /// The processes of the last view, by node.
     pub(super) processes: BTreeMap<NodeName, u64>,
     pub(super) listing_version: Option<ListingVersion>,
@@ -187,6 +190,7 @@
             quarantine_revision: None,
             view_changes: 0,
             usable_nodes: BTreeSet::new(),
+            permit_issuer: PermitIssuer::default(),
             processes: BTreeMap::new(),
             listing_version: None,
             list_works: true,
@@ -208,6 +212,7 @@
         let is_busy = self.dispatcher.open_requests() > 0
             || self.batcher.sizes() != (0, 0)
             || !self.unready.is_empty()
+            || self.permit_issuer.has_waiting()
             || !self.early.is_empty();
         let interval = if is_busy { BUSY_TICK } else { IDLE_TICK };
         after!(interval, [cx], tick());
@@ -216,6 +221,7 @@
         self.tell_evidence_if_due(now);
         self.admit_early(now);
         self.setup.notices.log_ended_rests(now);
+        self.issue_permits(now);
         let expired = self.dispatcher.expire(now);
         self.carry_out(expired, now);
         let waiting = self.dispatcher.send_waiting(now);
@@ -234,6 +240,7 @@
         self.resubmit(now);
         self.place_waiting(now);
         self.start_batches(now);
+        self.ask_for_permits(now);
         self.free_delayed_results(now);
         self.free_results(now);
     }
@@ -288,6 +295,7 @@
             GatewayEvent::Surface { request, reply } => self.surface(cx, request, reply, now),
         }
         self.start_batches(now);
+        self.ask_for_permits(now);
         self.free_results(now);
         // Orders of other nodes count too: a stop must not leave them behind.
         let open = self.dispatcher.open_requests() + self.batcher.sizes().0;
--- a/crates/daemon/src/gateway/batching.rs
+++ b/crates/daemon/src/gateway/batching.rs
@@ -268,6 +268,7 @@
             WorkMessage::Release { handles } => self.batcher.release(&handles),
         }
         self.start_batches(now);
+        self.ask_for_permits(now);
         self.free_results(now);
     }
 
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -3,7 +3,7 @@
 
 use crate::event::{Event, EventSender};
 use crate::gateway::event::GatewayEvent;
-use crate::gateway::notices::NoticeListener;
+use crate::gateway::notices::{NoticeListener, SendPermit};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use silversail_http::ConnectionPool;
@@ -12,7 +12,7 @@
 use silversail_serving::batcher::{BatchCall, CallOutcome};
 use silversail_serving::crashes::{Probe, ProbeAnswer};
 use silversail_serving::instances::InstanceId;
-use silversail_serving::notices::{AnswerPath, Withheld};
+use silversail_serving::notices::{AnswerContext, AnswerPath, Withheld};
 use silversail_serving::ports::{BackendCall, Protocols};
 use std::io;
 use std::sync::Arc;
@@ -222,13 +222,16 @@
         })
     }
 
-    /// Whether a back end still takes what is to be sent, by its own word.
-    fn check(&self, target: &CallTarget<'_>) -> Result<(), CallError> {
-        let withheld = match target {
-            CallTarget::ListSource { .. } => None,
-            CallTarget::Backend { instance, path, .. } => self.listener.withheld(instance, *path),
-        };
-        withheld.map_or(Ok(()), |reason| Err(CallError::Withheld(reason)))
+    /// Whether a back end takes what is to be sent, by its own word, with the permit that the call
+    /// takes; none for what is no back end.
+    fn admit(&self, target: &CallTarget<'_>) -> Result<Option<SendPermit>, CallError> {
+        match target {
+            CallTarget::ListSource { .. } => Ok(None),
+            CallTarget::Backend { instance, path, .. } => {
+                let permit = self.listener.admit(instance, *path);
+                permit.map(Some).map_err(CallError::Withheld)
+            }
+        }
     }
 
     async fn exchange(
@@ -245,20 +248,29 @@
                 connecting.await.map_err(not_sent)?
             }
         };
-        if let Err(withheld) = self.check(target) {
-            connection.keep();
-            return Err(withheld);
-        }
+        let mut permit = match self.admit(target) {
+            Ok(permit) => permit,
+            Err(withheld) => {
+                connection.keep();
+                return Err(withheld);
+            }
+        };
         let request = build(address, &call);
+        permit.iter_mut().for_each(SendPermit::spend);
         let response = match connection.send(request).await {
             Ok(response) => response,
             Err(silversail_http::SendError::NotSent(_)) => {
+                permit.iter_mut().for_each(SendPermit::unspend);
                 let connecting = self.pool.connect(address, CONNECT_TIMEOUT);
                 connection = connecting.await.map_err(not_sent)?;
-                if let Err(withheld) = self.check(target) {
-                    connection.keep();
-                    return Err(withheld);
-                }
+                permit = match permit.map(SendPermit::renew).transpose() {
+                    Ok(permit) => permit,
+                    Err(withheld) => {
+                        connection.keep();
+                        return Err(CallError::Withheld(withheld));
+                    }
+                };
+                permit.iter_mut().for_each(SendPermit::spend);
                 let again = connection.send(build(address, &call)).await;
                 again.map_err(|error| CallError::NoAnswer(error.to_string()))?
             }
@@ -271,7 +283,12 @@
             .requests
             .read_answer(status, response.headers(), "");
         if let CallTarget::Backend { instance, path, .. } = target {
-            self.listener.heard(instance, *path, &head.report);
+            let answer = AnswerContext {
+                path: *path,
+                permit: permit.as_ref().and_then(SendPermit::serial),
+                is_sound: status == 200,
+            };
+            self.listener.heard(instance, answer, &head.report);
         }
         let body = Limited::new(response.into_body(), MAX_ANSWER);
         let body = body
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -14,8 +14,9 @@
 use silversail_http::{
     Connection, ConnectionPool, IncomingRequest, OutgoingBody, RelayBody, RelayEnd, SendError,
 };
+use silversail_limits::Serial;
 use silversail_serving::dispatcher::{NotRunReason, SendOutcome, SendPlan, UnknownReason};
-use silversail_serving::notices::AnswerPath;
+use silversail_serving::notices::{AnswerContext, AnswerPath, Withheld};
 use silversail_serving::ports::{AnswerHead, Protocols, ReportedLoad};
 use std::time::{Duration, Instant};
 use tokio::time::{timeout, timeout_at};
@@ -54,6 +55,12 @@
     }
 }
 
+impl From<Withheld> for Ended {
+    fn from(_: Withheld) -> Self {
+        SendOutcome::NotRun(NotRunReason::Withheld).into()
+    }
+}
+
 /// Sends requests.
 #[derive(Clone)]
 pub struct Exchanger {
@@ -110,15 +117,19 @@
         watch: StreamWatch,
         end: Instant,
     ) -> Result<SendResult, Ended> {
-        let (mut connection, response) = self.first_head(request, plan).await?;
+        let (mut connection, response, permit) = self.first_head(request, plan).await?;
         connection.note_head(response.headers());
         let status = response.status().as_u16();
         let head = self
             .protocols
             .requests
             .read_answer(status, response.headers(), id);
-        let path = AnswerPath::Request;
-        self.listener.heard(&plan.instance, path, &head.report);
+        let answer = AnswerContext {
+            path: AnswerPath::Request,
+            permit,
+            is_sound: is_sound(status, &head) && status < 500,
+        };
+        self.listener.heard(&plan.instance, answer, &head.report);
         if head.not_run {
             let reason = not_run_reason(status);
             keep_after_refusal(connection, response.into_body()).await;
@@ -144,18 +155,19 @@
         whole(response, connection, head).await
     }
 
-    /// Connects, sends, and waits for the answer's head.
+    /// Connects, sends, and waits for the answer's head. Tells the permit with which it was sent.
     async fn first_head(
         &self,
         request: &IncomingRequest,
         plan: &SendPlan,
-    ) -> Result<(Connection, Response<Incoming>), Ended> {
-        self.check(plan)?;
+    ) -> Result<(Connection, Response<Incoming>, Option<Serial>), Ended> {
+        let mut permit = self.listener.admit(&plan.instance, AnswerPath::Request)?;
         if let Some(mut connection) = self.pool.take_idle(&plan.address) {
+            permit.spend();
             match connection.send(self.build(request, plan)).await {
-                Ok(response) => return Ok((connection, response)),
+                Ok(response) => return Ok((connection, response, permit.serial())),
                 // The engine closed it meanwhile; nothing was sent.
-                Err(SendError::NotSent(_)) => {}
+                Err(SendError::NotSent(_)) => permit.unspend(),
                 Err(SendError::Broken(_)) => {
                     return Err(SendOutcome::Unknown(UnknownReason::Broken).into())
                 }
@@ -165,25 +177,24 @@
         let connecting = self.pool.connect(&plan.address, CONNECT_TIMEOUT);
         let mut connection = connecting.await.map_err(|_| unreachable())?;
         // Other answers may have come while this one connected.
-        if let Err(withheld) = self.check(plan) {
-            connection.keep();
-            return Err(withheld);
-        }
+        let mut permit = match permit.renew() {
+            Ok(permit) => permit,
+            Err(withheld) => {
+                connection.keep();
+                return Err(withheld.into());
+            }
+        };
+        permit.spend();
         match connection.send(self.build(request, plan)).await {
-            Ok(response) => Ok((connection, response)),
-            Err(SendError::NotSent(_)) => Err(unreachable()),
+            Ok(response) => Ok((connection, response, permit.serial())),
+            Err(SendError::NotSent(_)) => {
+                permit.unspend();
+                Err(unreachable())
+            }
             Err(SendError::Broken(_)) => Err(SendOutcome::Unknown(UnknownReason::Broken).into()),
         }
     }
 
-    /// Whether the engine still takes what is to be sent, by its own word.
-    fn check(&self, plan: &SendPlan) -> Result<(), Ended> {
-        match self.listener.withheld(&plan.instance, AnswerPath::Request) {
-            Some(_) => Err(SendOutcome::NotRun(NotRunReason::Withheld).into()),
-            None => Ok(()),
-        }
-    }
-
     /// Time until a plan's end.
     fn left(&self, plan: &SendPlan) -> Duration {
         let end = self.clock.instant(plan.end);
--- a/crates/daemon/src/gateway/following.rs
+++ b/crates/daemon/src/gateway/following.rs
@@ -214,6 +214,7 @@
             left: self.usable_nodes.difference(&names).cloned().collect(),
         });
         self.usable_nodes = names;
+        self.follow_issuers();
         self.follow_processes(now);
         self.refresh_owners(now);
     }
--- a/crates/daemon/src/gateway/frees.rs
+++ b/crates/daemon/src/gateway/frees.rs
@@ -1,4 +1,5 @@
-//! Results that are needed no more are freed at their makers, unless these asked for rest.
+//! Results that are needed no more are freed at their makers, unless these asked for rest or have
+//! a limit.
 
 use crate::gateway::actor::GatewayActor;
 use crate::gateway::calls::CalledBackend;
@@ -76,12 +77,12 @@
     Now,
     /// It rests.
     Later,
-    /// It said that it leaves: it gets nothing more, and its results end by themselves.
+    /// It leaves, or takes few requests, which are for work: its results end by themselves.
     Never,
 }
 
 fn fate_of(maker: &Instance, now: Millis) -> Fate {
-    if maker.said_it_leaves() {
+    if maker.said_it_leaves() || maker.is_limited() {
         return Fate::Never;
     }
     match maker.is_resting(now) {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod exchange;
 mod following;
 mod frees;
+mod limits;
 pub mod list_reader;
 mod list_reading;
 pub mod notices;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -44,6 +44,10 @@
     /// Sends that were not made, as the back end said after it was chosen that it rests or leaves,
     /// by reason and what was to be sent.
     pub sends_withheld: IntCounterVec,
+    /// Permits of back ends with limits that requests of this node were sent with, by path.
+    pub permits_spent: IntCounterVec,
+    /// Permits that this node issued to itself and others.
+    pub permits_issued: IntCounter,
     /// Times that the machine was suspended.
     pub suspensions: IntCounter,
     /// Requests that are refused as they crash back ends, those watched, and, on voters, suspects.
@@ -125,6 +129,14 @@
         registry
             .register(Box::new(quarantine_verdicts.clone()))
             .expect(VALID);
+        let permits_issued = IntCounter::new(
+            "silversail_permits_issued_total",
+            "Permits issued for back ends that have a limit for all nodes together",
+        )
+        .expect(VALID);
+        registry
+            .register(Box::new(permits_issued.clone()))
+            .expect(VALID);
         let stage_cost = CounterVec::new(
             Opts::new(
                 "silversail_stage_cost_ms_total",
@@ -229,9 +241,15 @@
             ),
             sends_withheld: counter(
                 "silversail_sends_withheld_total",
-                "Sends not made as the back end rests or leaves by its own word",
+                "Sends not made as the back end rests, leaves or has a limit by its own word",
                 &["reason", "path"],
             ),
+            permits_spent: counter(
+                "silversail_permits_spent_total",
+                "Requests sent to back ends that have a limit for all nodes together",
+                &["path"],
+            ),
+            permits_issued,
             quarantine: gauges(
                 "silversail_quarantined_requests",
                 "Requests that crash back ends",
--- a/crates/daemon/src/node/operators.rs
+++ b/crates/daemon/src/node/operators.rs
@@ -6,7 +6,7 @@
 use crate::replica::{GroupStatus, ProposalOutcome};
 use crate::rollout::{RolloutCaller, RolloutOutcome, RolloutRefused};
 use crate::surface::operators::{
-    GroupBody, OperatorReply, OperatorRequest, RestingBackend, StatusBody,
+    GroupBody, LimitedBackend, OperatorReply, OperatorRequest, RestingBackend, StatusBody,
 };
 use serde_json::json;
 use silversail_consensus::Millis;
@@ -225,10 +225,21 @@
                 .iter()
                 .flat_map(BackendNotices::leaving)
                 .collect(),
+            limited_backends: self.limited_backends(),
             groups,
         }
     }
 
+    fn limited_backends(&self) -> Vec<LimitedBackend> {
+        let limited = self.notices.iter().flat_map(BackendNotices::limited);
+        limited
+            .map(|(backend, limit)| LimitedBackend {
+                backend,
+                per_second: limit.requests_per_second(),
+            })
+            .collect()
+    }
+
     fn resting_backends(&self, now: Millis) -> Vec<RestingBackend> {
         let resting = self.notices.iter().flat_map(|one| one.resting(now));
         resting
--- a/crates/daemon/src/surface/operators.rs
+++ b/crates/daemon/src/surface/operators.rs
@@ -161,10 +161,21 @@
     pub resting_backends: Vec<RestingBackend>,
     /// Back ends that said in answers to this node that they leave.
     pub leaving_backends: Vec<String>,
+    /// Back ends that take only so many requests from all nodes together, as this node knows.
+    pub limited_backends: Vec<LimitedBackend>,
     /// Replicas of this process, by group.
     pub groups: BTreeMap<String, GroupBody>,
 }
 
+/// A back end with a limit in [`StatusBody`].
+#[derive(Debug, Serialize)]
+pub struct LimitedBackend {
+    /// Its identity; for back ends of pipelines their address.
+    pub backend: String,
+    /// Requests a second that it takes from all nodes together.
+    pub per_second: f64,
+}
+
 /// A back end at rest in [`StatusBody`].
 #[derive(Debug, Serialize)]
 pub struct RestingBackend {
--- a/crates/model/src/codes.rs
+++ b/crates/model/src/codes.rs
@@ -139,6 +139,9 @@
     RequestQuarantined = 2114, "request_quarantined", 400, NotRun;
     /// All back ends that may have the request asked for rest and are not back in time.
     BackendsResting = 2115, "backends_resting", 503, NotRun;
+    /// All back ends that may have the request take only so many from all nodes together, and it
+    /// is not among them in time.
+    BackendsLimited = 2116, "backends_limited", 503, NotRun;
 
     /// No route has the request's host and a prefix of its path.
     UnknownRoute = 2201, "unknown_route", 404, NotRun;
--- a/crates/peer/src/kind.rs
+++ b/crates/peer/src/kind.rs
@@ -3,6 +3,7 @@
 use crate::discovery::DiscoveryMessage;
 use crate::message::{GroupMessage, PeerMessage, SessionMessage};
 use crate::work::WorkMessage;
+use silversail_limits::LimitMessage;
 
 impl PeerMessage {
     /// Name of the message's kind.
@@ -12,6 +13,8 @@
             PeerMessage::Session(message) => message.kind(),
             PeerMessage::Discovery(message) => message.kind(),
             PeerMessage::Work(message) => message.kind(),
+            PeerMessage::Limits(LimitMessage::Request(_)) => "permit_request",
+            PeerMessage::Limits(LimitMessage::Grant(_)) => "permit_grant",
         }
     }
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -10,12 +10,13 @@
     ConfigurationUpdate, EvacuationRevision, NodeReport, RolloutsRevision, SharedEvacuations,
     SharedRollouts, TrafficUpdate, ViewUpdate, ViewVersion,
 };
+use silversail_limits::LimitMessage;
 use silversail_model::{NodeName, Revision, TrafficVersion};
 use silversail_quarantine::{QuarantineRevision, SharedQuarantineList};
 use std::fmt;
 
 /// Version of the message format; other versions are dropped.
-pub const PROTOCOL_VERSION: u8 = 8;
+pub const PROTOCOL_VERSION: u8 = 9;
 
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -66,6 +67,8 @@
     Discovery(DiscoveryMessage),
     /// Work that nodes hand to each other.
     Work(WorkMessage),
+    /// Limits of back ends that hold for all nodes together.
+    Limits(LimitMessage),
 }
 
 /// Messages to or between the members of a group.
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -15,7 +15,7 @@
 mod versions;
 
 use crate::crashes::{BreakOff, BrokenSend};
-use crate::instances::InstanceTable;
+use crate::instances::{InstanceId, InstanceTable};
 use crate::policy::Policy;
 use crate::ports::PieceResults;
 use crate::rollouts::{CountedSend, RolloutBook};
@@ -287,6 +287,9 @@
             pieces.push((piece, order.deadline.saturating_sub(now)));
         }
         self.room.reserve(maker, room);
+        if let Some(instance) = table.get(maker) {
+            instance.choose_permit(now);
+        }
         let listed = table.get(maker).map(|one| one.listed.clone());
         let (name, address, version) = listed
             .map(|one| (one.name.clone(), one.address.clone(), one.version.clone()))
@@ -370,6 +373,14 @@
         })
     }
 
+    /// Limited makers for which pieces wait that this node has no permit for, each once.
+    pub fn permits_wanted(&self, table: &InstanceTable, now: Millis) -> Vec<InstanceId> {
+        let waits = |shard: &&Shard| self.waiting_of(shard).any(Order::is_waiting);
+        let shards = self.shards.keys().filter(waits);
+        let makers = shards.flat_map(|shard| self.makers.without_permit(shard, table, now));
+        makers.map(str::to_owned).collect()
+    }
+
     /// Orders that wait or are at work, and calls under way.
     pub fn sizes(&self) -> (usize, usize) {
         (self.orders.len(), self.calls.len())
--- a/crates/serving/src/batcher/estimate.rs
+++ b/crates/serving/src/batcher/estimate.rs
@@ -103,7 +103,8 @@
 
     fn flow_of(&self, shard: &Shard, spec: &BatchSpec, table: &InstanceTable, now: Millis) -> Flow {
         let versions = self.main_versions(&shard.service);
-        let makers = self.makers.working(shard, versions, table, now).max(1);
+        let working = self.makers.working(shard, versions, table, now);
+        let makers = working.max(1);
         let busy = self.calls.values().filter(|one| one.shard == *shard);
         let until_free = match busy.count() >= makers {
             true => call_ms(spec, spec.pieces) / (makers + 1) as f64,
@@ -113,9 +114,14 @@
         let until_free = until_free.max(rest);
         let pieces_of_call = spec.pieces as f64 * self.pace_of(shard).fullness;
         let call = spec.call_ms + spec.piece_ms * pieces_of_call;
+        let of_limited = self.makers.limited_calls_per_ms(shard, call, table);
+        let calls_per_ms = match working == 0 && of_limited > 0.0 {
+            true => of_limited,
+            false => makers as f64 / call + of_limited,
+        };
         Flow {
             until_free,
-            pieces_per_ms: makers as f64 * pieces_of_call / call,
+            pieces_per_ms: calls_per_ms * pieces_of_call,
         }
     }
 
--- a/crates/serving/src/batcher/makers.rs
+++ b/crates/serving/src/batcher/makers.rs
@@ -2,7 +2,7 @@
 //! refuse, fail or are slow.
 
 use super::CallOutcome;
-use crate::instances::InstanceTable;
+use crate::instances::{Instance, InstanceTable};
 use crate::policy::Policy;
 use crate::rollouts::VersionChoice;
 use crate::Millis;
@@ -177,12 +177,12 @@
         until.min().unwrap_or_default() as u32
     }
 
-    /// Milliseconds until the first of a shard's makers is back from its rest; 0 where one does not
-    /// rest.
+    /// Milliseconds until the first of a shard's makers is back from its rest, or this node has a
+    /// permit for it; 0 where there is one to which neither applies.
     pub(super) fn rest_ms(&self, shard: &Shard, table: &InstanceTable, now: Millis) -> Millis {
         let mut first_back = None;
         for maker in table.of_shard(shard).filter(|one| one.takes_work()) {
-            match maker.rest_left(now) {
+            match maker.wait_left(now) {
                 0 => return 0,
                 left => first_back = Some(first_back.map_or(left, |known: Millis| known.min(left))),
             }
@@ -235,7 +235,34 @@
         usable
     }
 
-    /// How many makers of a shard of the versions chosen work by what is known.
+    /// Makers that are limited and have no permit, for which pieces wait: the more the less of the
+    /// limits is left unused.
+    pub(super) fn without_permit<'a>(
+        &self,
+        shard: &'a Shard,
+        table: &'a InstanceTable,
+        now: Millis,
+    ) -> impl Iterator<Item = &'a str> {
+        let lacking = table.of_shard(shard);
+        let lacking = lacking.filter(move |one| one.lacks_only_a_permit(now));
+        lacking.map(|one| one.listed.id.as_str())
+    }
+
+    /// Calls a millisecond that the limited makers of a shard take, where a call takes `call`
+    /// milliseconds.
+    pub(super) fn limited_calls_per_ms(
+        &self,
+        shard: &Shard,
+        call: f64,
+        table: &InstanceTable,
+    ) -> f64 {
+        let limited = table.of_shard(shard).filter(|one| one.takes_work());
+        let rates = limited.filter_map(Instance::limit);
+        let per_ms = rates.map(|rate| rate.requests_per_second() / 1_000.0);
+        per_ms.map(|rate| rate.min(1.0 / call)).sum()
+    }
+
+    /// How many makers of a shard of the versions chosen work by what is known, without a limit.
     pub(super) fn working(
         &self,
         shard: &Shard,
@@ -248,6 +275,7 @@
             versions.admits(one.role())
                 && one.takes_work()
                 && !one.is_resting(now)
+                && !one.is_limited()
                 && !self.has_failed(id)
                 && !self.is_slow(id, now)
         });
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod admission;
+mod limits;
 mod outcomes;
 mod phases;
 mod progress;
--- /dev/null
+++ b/crates/serving/src/dispatcher/limits.rs
@@ -0,0 +1,75 @@
+//! Requests and engines that have a limit: which permits are wanted, and which requests do not get
+//! one in time.
+
+use super::request::ActiveRequest;
+use super::sending::lot_of;
+use super::{Action, Dispatcher, RequestNumber};
+use crate::instances::{Instance, InstanceId};
+use crate::selection::rank;
+use crate::Millis;
+use std::collections::BTreeMap;
+
+impl Dispatcher {
+    /// How many requests wait for a permit of each limited engine.
+    pub fn permits_wanted(&self) -> BTreeMap<InstanceId, u32> {
+        let mut wanted = BTreeMap::new();
+        if !self.instances.notices().has_limits() {
+            return wanted;
+        }
+        let engines = self
+            .requests
+            .values()
+            .filter_map(|one| one.waits_for.as_ref());
+        for engine in engines {
+            *wanted.entry(engine.clone()).or_default() += 1;
+        }
+        wanted
+    }
+
+    /// A request goes to `chosen`: a limited engine that is less busy had got it, if this node had
+    /// a permit. One is asked for, for the next request.
+    pub(super) fn prefer_limited(&self, request: &ActiveRequest, chosen: &Instance, now: Millis) {
+        if !self.instances.notices().has_limits() {
+            return;
+        }
+        let utilization = chosen.utilization(now);
+        let is_less_busy =
+            |one: &&Instance| one.lacks_only_a_permit(now) && one.utilization(now) <= utilization;
+        let lot = lot_of(&request.call.id, request.sends);
+        let less_busy = self.engines_of(request).filter(is_less_busy);
+        let preferred = less_busy.max_by_key(|one| rank(lot, &one.listed.id));
+        if let Some(preferred) = preferred {
+            preferred.prefer(now);
+        }
+    }
+
+    /// Refuses the requests that wait for permits and don't get one in time, by what the issuer
+    /// told: the most urgent ones get the first.
+    pub fn refuse_without_permit(&mut self, engine: &str, now: Millis) -> Vec<Action> {
+        let waiting = self.requests.iter();
+        let waiting = waiting.filter(|(_, one)| one.waits_for.as_deref() == Some(engine));
+        let mut waiting: Vec<(u8, Millis, RequestNumber)> = waiting
+            .map(|(number, one)| (one.routed.priority, one.end, *number))
+            .collect();
+        waiting.sort_unstable();
+        let Some(instance) = self.instances.get(engine) else {
+            return Vec::new();
+        };
+        let mut place = 0;
+        let mut too_late = Vec::new();
+        for (_, _, number) in waiting {
+            let Some(at) = instance.permit_expected_at(place + 1, now) else {
+                break;
+            };
+            let request = &self.requests[&number];
+            match self.is_too_late(request, at) {
+                true => too_late.push((number, at)),
+                false => place += 1,
+            }
+        }
+        too_late
+            .into_iter()
+            .flat_map(|(number, at)| self.refuse_until(number, at, now))
+            .collect()
+    }
+}
--- a/crates/serving/src/dispatcher/request.rs
+++ b/crates/serving/src/dispatcher/request.rs
@@ -4,7 +4,7 @@
 use super::Action;
 use crate::batcher::AnnouncedOrder;
 use crate::crashes::{BreakOff, BrokenSend};
-use crate::instances::{Instance, InstanceTable};
+use crate::instances::{Instance, InstanceId, InstanceTable};
 use crate::policy::Policy;
 use crate::ports::{CallAttributes, SendAttributes};
 use crate::regions::{InputsAt, SharedPrompt};
@@ -66,6 +66,8 @@
     pub(super) unreached: u32,
     /// Until when it waits for an engine that rests; none where it does not.
     pub(super) waits_until: Option<Millis>,
+    /// The limited engine for whose permit it waits.
+    pub(super) waits_for: Option<InstanceId>,
     /// What a send came to that may have run, where it was followed by another.
     pub(super) failed_with: Option<ResultCode>,
     /// How long engines read what it shares with others.
@@ -97,6 +99,7 @@
             failed_at_candidate: false,
             unreached: 0,
             waits_until: None,
+            waits_for: None,
             failed_with: None,
             shared_prompt: SharedPrompt::default(),
         }
--- a/crates/serving/src/dispatcher/sending.rs
+++ b/crates/serving/src/dispatcher/sending.rs
@@ -26,6 +26,7 @@
         let Some(instance) = self.engine_for(request, now) else {
             return self.without_engine(number, now);
         };
+        self.prefer_limited(request, instance, now);
         let plan = plan_of(request, instance, &self.topology, now);
         self.log_sent(request, instance, plan.distance, now);
         let role = instance.role();
@@ -36,6 +37,7 @@
         if let Some(request) = self.requests.get_mut(&number) {
             request.sends += 1;
             request.waits_until = None;
+            request.waits_for = None;
             request.tried.push(plan.instance.clone());
             request.present = Some(PresentSend {
                 instance: plan.instance.clone(),
@@ -209,7 +211,7 @@
 }
 
 /// Draws for one send of a request.
-fn lot_of(request: &str, sends: u32) -> u64 {
+pub(super) fn lot_of(request: &str, sends: u32) -> u64 {
     let mut hasher = DefaultHasher::new();
     (request, sends).hash(&mut hasher);
     hasher.finish()
--- a/crates/serving/src/instances/instance.rs
+++ b/crates/serving/src/instances/instance.rs
@@ -5,6 +5,7 @@
 use crate::ports::{ListedInstance, ReportedLoad};
 use crate::rollouts::VersionRole;
 use crate::Millis;
+use silversail_model::RequestRate;
 use std::sync::Arc;
 
 /// How long a load report counts, in milliseconds.
@@ -103,8 +104,50 @@
     /// When it may be chosen again by what it said of its load; none where it may be now.
     /// After a rest one request goes first: if it is turned away, the others were spared.
     pub fn back_at(&self, now: Millis) -> Option<Millis> {
-        let until = self.notice.rest_until().max(self.first_awaited_until(now));
-        Some(until.max(self.full_until)).filter(|until| now < *until)
+        let rest_until = self.notice.rest_until().max(self.first_awaited_until(now));
+        let permit_at = self.notice.permit_at(now).unwrap_or(0);
+        let until = rest_until.max(self.full_until).max(permit_at);
+        Some(until).filter(|until| now < *until)
+    }
+
+    /// Whether it takes only so many requests from all nodes together.
+    pub fn is_limited(&self) -> bool {
+        self.notice.is_limited()
+    }
+
+    /// How many requests it takes from all nodes together; none where it has no limit.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.notice.limit()
+    }
+
+    /// Milliseconds until its rest is over and this node has a permit for it; 0 where both is so.
+    pub fn wait_left(&self, now: Millis) -> Millis {
+        let permit_at = self.notice.permit_at(now).unwrap_or(0);
+        self.rest_left(now).max(permit_at.saturating_sub(now))
+    }
+
+    /// A request of this node was decided that goes there.
+    pub(crate) fn choose_permit(&self, now: Millis) {
+        self.notice.choose_permit(now);
+    }
+
+    /// Whether it would get a request if this node had a permit for it.
+    pub(crate) fn lacks_only_a_permit(&self, now: Millis) -> bool {
+        self.is_limited()
+            && self.takes_work()
+            && !self.is_passed_over(now)
+            && !self.is_resting(now)
+            && self.notice.permit_at(now).is_some()
+    }
+
+    /// A request would rather have gone there.
+    pub(crate) fn prefer(&self, now: Millis) {
+        self.notice.prefer(now);
+    }
+
+    /// When the `place`-th request of this node that waits for it gets a permit.
+    pub(crate) fn permit_expected_at(&self, place: u32, now: Millis) -> Option<Millis> {
+        self.notice.permit_expected_at(place, now)
     }
 
     /// Whether its rest is over and this node comes back to it a little later, as others do now:
--- a/crates/serving/src/notices.rs
+++ b/crates/serving/src/notices.rs
@@ -1,4 +1,5 @@
-//! What back ends said of themselves in their answers: that they want rest, or that they leave.
+//! What back ends said of themselves in their answers: that they want rest, that they leave, or how
+//! many requests they take from all nodes together.
 //!
 //! It is kept apart from the list of back ends, which lags by seconds and is read by another node:
 //! no list takes it back, nor does an answer that does not say it again. A rest ends by its time
@@ -9,6 +10,7 @@
 use crate::ports::SelfReport;
 use crate::Millis;
 use silversail_decisions::{DecisionLog, Event};
+use silversail_limits::{Admission, Heard, Permit, PermitGrant, PermitPool, PermitRequest, Serial};
 use silversail_model::RequestRate;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -20,6 +22,9 @@
 /// far more than back ends take to leave, and a back end takes some 200 bytes.
 const KEPT_UNLISTED_FOR: Millis = 600_000;
 
+/// Stands in the log in the place of a kind of exchange where another node told.
+const PEER: &str = "peer";
+
 /// Names of headers that are told of as unknown at most; further ones are not told.
 const MOST_UNKNOWN_NAMES: usize = 32;
 
@@ -51,6 +56,28 @@
     }
 }
 
+/// What an answer was to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerContext {
+    /// The kind of exchange.
+    pub path: AnswerPath,
+    /// The permit with which the request was sent, where it had one.
+    pub permit: Option<Serial>,
+    /// Whether it is an answer that shows how the back end fares: the back end's own to this
+    /// request, and no failure.
+    pub is_sound: bool,
+}
+
+impl From<AnswerPath> for AnswerContext {
+    fn from(path: AnswerPath) -> Self {
+        Self {
+            path,
+            permit: None,
+            is_sound: false,
+        }
+    }
+}
+
 /// What was new in what a back end said of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct News {
@@ -69,6 +96,8 @@
     Resting,
     /// It leaves.
     Leaving,
+    /// It takes so many requests from all nodes together, and this node has no permit.
+    Limited,
 }
 
 impl Withheld {
@@ -77,13 +106,16 @@
         match self {
             Withheld::Resting => "resting",
             Withheld::Leaving => "leaving",
+            Withheld::Limited => "limited",
         }
     }
 }
 
-/// What one back end said of itself. Read without a lock.
+/// What one back end said of itself. Read without a lock, but for its permits.
 #[derive(Debug, Default)]
 pub struct Notice {
+    is_limited: AtomicBool,
+    permits: Mutex<PermitPool>,
     rest_until: AtomicU64,
     rest_ms: AtomicU64,
     has_rested: AtomicBool,
@@ -121,6 +153,46 @@
         self.is_leaving.load(Ordering::Acquire)
     }
 
+    fn permits(&self) -> MutexGuard<'_, PermitPool> {
+        // Each step leaves the pool whole, also where a thread ended.
+        self.permits
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Whether it takes only so many requests from all nodes together.
+    pub fn is_limited(&self) -> bool {
+        self.is_limited.load(Ordering::Acquire)
+    }
+
+    /// How many requests it takes from all nodes together; none where it has no limit.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.is_limited().then(|| self.permits().limit())?
+    }
+
+    /// When this node can have a permit that it asks for now; none where it has one or needs none.
+    pub fn permit_at(&self, now: Millis) -> Option<Millis> {
+        self.is_limited().then(|| self.permits().next_at(now))?
+    }
+
+    /// When the `place`-th request that waits for a permit gets one, counted from 1; none where
+    /// that is not known.
+    pub fn permit_expected_at(&self, place: u32, now: Millis) -> Option<Millis> {
+        self.permits().expected_at(place, now)
+    }
+
+    /// A request was decided that goes there.
+    pub fn choose_permit(&self, now: Millis) {
+        if self.is_limited() {
+            self.permits().choose(now);
+        }
+    }
+
+    /// A request would rather have gone there.
+    pub fn prefer(&self, now: Millis) {
+        self.permits().prefer(now);
+    }
+
     /// Why nothing may be sent to it at `now`; none where it may get work.
     pub fn withheld(&self, now: Millis) -> Option<Withheld> {
         if self.is_leaving() {
@@ -135,8 +207,6 @@
     notice: Arc<Notice>,
     /// Whether the log has the beginning of a rest and not its end.
     rest_is_logged: bool,
-    /// The limit that it named last.
-    named_limit: Option<RequestRate>,
 }
 
 #[derive(Default)]
@@ -145,6 +215,8 @@
     /// Those that no list names, with the time since when that was seen. Kept apart, as a look
     /// at all entries at each change of the list grows with the number of back ends.
     unlisted: BTreeMap<InstanceId, Option<Millis>>,
+    /// Those that have a limit.
+    limited: BTreeSet<InstanceId>,
 }
 
 impl Entries {
@@ -168,6 +240,8 @@
     /// How many entries have a rest whose end is to be logged, so that a look costs nothing where
     /// there are none.
     rests_to_log: Arc<AtomicUsize>,
+    /// How many have a limit.
+    limits: Arc<AtomicUsize>,
     /// Names of headers that were told of as unknown.
     unknown_names: Arc<Mutex<BTreeSet<String>>>,
     log: DecisionLog,
@@ -179,6 +253,7 @@
         Self {
             entries: Arc::default(),
             rests_to_log: Arc::default(),
+            limits: Arc::default(),
             unknown_names: Arc::default(),
             log,
         }
@@ -197,7 +272,15 @@
     }
 
     /// Takes in what a back end said of itself at `now`. Of two rests the later end holds.
-    pub fn hear(&self, id: &str, path: AnswerPath, said: &SelfReport, now: Millis) -> News {
+    pub fn hear(
+        &self,
+        id: &str,
+        answer: impl Into<AnswerContext>,
+        said: &SelfReport,
+        now: Millis,
+    ) -> News {
+        let answer = answer.into();
+        let path = answer.path;
         let mut entries = self.lock();
         let entry = entries.entry(id);
         let mut news = News::default();
@@ -231,24 +314,106 @@
                 });
             }
         }
-        if let Some(limit) = said.limit.lowest {
-            let before = entry.named_limit.replace(limit);
-            news.is_other_limit = before != Some(limit);
-            if news.is_other_limit {
-                self.log.record(Event::LimitChanged {
-                    backend: id.to_owned(),
-                    before: before.map(RequestRate::requests_per_second),
-                    per_second: Some(limit.requests_per_second()),
-                    path: path.name().to_owned(),
-                    told_by: String::new(),
-                });
-            }
-        }
+        let notice = entry.notice.clone();
+        let named = said.limit.lowest;
+        let heard = notice.permits().hear(named, answer.permit, answer.is_sound);
+        news.is_other_limit = heard.is_change();
+        self.note_limit(&mut entries, id, &heard, path.name(), "");
         drop(entries);
         self.note_unknown(id, &said.unknown);
         news
     }
 
+    /// Keeps and tells that a back end has another limit than before, or none any more.
+    fn note_limit(&self, entries: &mut Entries, id: &str, heard: &Heard, path: &str, by: &str) {
+        if !heard.is_change() {
+            return;
+        }
+        let is_limited = heard.after.is_some();
+        let notice = &entries.entry(id).notice;
+        notice.is_limited.store(is_limited, Ordering::Release);
+        match is_limited {
+            true => entries.limited.insert(id.to_owned()),
+            false => entries.limited.remove(id),
+        };
+        self.limits.store(entries.limited.len(), Ordering::Release);
+        self.log.record(Event::LimitChanged {
+            backend: id.to_owned(),
+            before: heard.before.map(RequestRate::requests_per_second),
+            per_second: heard.after.map(RequestRate::requests_per_second),
+            path: path.to_owned(),
+            told_by: by.to_owned(),
+        });
+    }
+
+    /// Whether back ends have limits.
+    pub fn has_limits(&self) -> bool {
+        self.limits.load(Ordering::Acquire) > 0
+    }
+
+    /// Whether a request may leave for a back end at `now`, with the permit that it takes where
+    /// the back end has a limit.
+    pub fn admit(&self, id: &str, now: Millis) -> Result<Option<Permit>, Withheld> {
+        let notice = self.of(id);
+        if let Some(reason) = notice.withheld(now) {
+            return Err(reason);
+        }
+        if !notice.is_limited() {
+            return Ok(None);
+        }
+        let admission = notice.permits().admit(now);
+        match admission {
+            Admission::Unlimited => Ok(None),
+            Admission::Permitted(permit) => Ok(Some(permit)),
+            Admission::Withheld => Err(Withheld::Limited),
+        }
+    }
+
+    /// A request that took a permit was not sent.
+    pub fn give_back(&self, id: &str, permit: Permit) {
+        self.of(id).permits().give_back(permit);
+    }
+
+    /// What is to be told to the issuers of permits at `now`, where so many requests wait for
+    /// each back end.
+    pub fn permit_requests(
+        &self,
+        waiting: &BTreeMap<InstanceId, u32>,
+        now: Millis,
+    ) -> Vec<PermitRequest> {
+        if !self.has_limits() {
+            return Vec::new();
+        }
+        let entries = self.lock();
+        let limited = entries.limited.iter();
+        let requests = limited.filter_map(|id| {
+            let mut permits = entries.by_id.get(id)?.notice.permits();
+            permits.set_waiting(waiting.get(id).copied().unwrap_or(0), now);
+            permits.request_due(id, now)
+        });
+        requests.collect()
+    }
+
+    /// Takes what the issuer `from` sent.
+    pub fn take_grant(&self, from: &str, grant: &PermitGrant, now: Millis) {
+        let mut entries = self.lock();
+        let id = &grant.backend;
+        let notice = entries.entry(id).notice.clone();
+        let heard = notice.permits().take_grant(grant, now);
+        self.note_limit(&mut entries, id, &heard, PEER, from);
+    }
+
+    /// Those that have a limit, each with it.
+    pub fn limited(&self) -> Vec<(InstanceId, RequestRate)> {
+        let entries = self.lock();
+        let limited = entries.limited.iter();
+        let with_limit = limited.filter_map(|id| {
+            let limit = entries.by_id.get(id)?.notice.limit()?;
+            Some((id.clone(), limit))
+        });
+        with_limit.collect()
+    }
+
     fn note_unknown(&self, id: &str, names: &[String]) {
         if names.is_empty() {
             return;
@@ -322,18 +487,27 @@
 
     /// Forgets those that no list names and that have nothing to say, or are long gone.
     pub fn forget_unlisted(&self, now: Millis) {
-        let Entries { by_id, unlisted } = &mut *self.lock();
+        let Entries {
+            by_id,
+            unlisted,
+            limited,
+        } = &mut *self.lock();
         unlisted.retain(|id, since| {
             let since = *since.get_or_insert(now);
             let is_kept = by_id.get(id).is_some_and(|entry| {
-                let has_said = entry.notice.is_leaving() || entry.notice.is_resting(now);
+                let notice = &entry.notice;
+                let has_said = notice.is_leaving() || notice.is_resting(now) || notice.is_limited();
                 has_said && now.saturating_sub(since) < KEPT_UNLISTED_FOR
             });
             if !is_kept && by_id.remove(id).is_some_and(|entry| entry.rest_is_logged) {
                 self.rests_to_log.fetch_sub(1, Ordering::AcqRel);
             }
+            if !is_kept {
+                limited.remove(id);
+            }
             is_kept
         });
+        self.limits.store(limited.len(), Ordering::Release);
     }
 }
 
