Limits: words are ordered by their permits, an end releases step by step, all nodes are told of a beginning

Now words are ordered by the permit with which their request was sent, a lower one is made the latest; the rate rises until nobody waits (in 250 ms a quarter of what waits at the most, 20 seeds, 9 and 64 nodes).

--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -26,6 +26,7 @@
 use silversail_control::ControlState;
 use silversail_decisions::DecisionLog;
 use silversail_ledger::LedgerState;
+use silversail_limits::LimitMessage;
 use silversail_model::{NodeName, Topology};
 use silversail_peer::{
     Envelope, GroupId, GroupMessage, ListedInstance, PeerMessage, SessionMessage,
@@ -186,6 +187,11 @@
                     call!([gateway], work(from, message));
                 }
             }
+            PeerMessage::Limits(LimitMessage::Announce(announcement)) => {
+                if let Some(voter) = &self.voter {
+                    call!([voter.relay], announce_limit(announcement));
+                }
+            }
             PeerMessage::Limits(message) => {
                 if let Some(gateway) = &self.gateway {
                     call!([gateway], limits(from, message));
--- a/crates/daemon/src/gateway/limits.rs
+++ b/crates/daemon/src/gateway/limits.rs
@@ -16,10 +16,17 @@
             LimitMessage::Request(request) if self.issues_for(&request.backend) => {
                 let grants = self.permit_issuer.request(&from, &request, now);
                 self.send_grants(grants, now);
+                self.announce_limits();
             }
             // Who asked has another view; it asks again.
             LimitMessage::Request(_) => {}
             LimitMessage::Grant(grant) => self.take_grant(&from, &grant, now),
+            LimitMessage::Announced(announced) => {
+                let notices = &self.setup.notices;
+                notices.take_announcement(from.as_str(), &announced);
+            }
+            // For this node's relay.
+            LimitMessage::Announce(_) => {}
         }
         self.start_batches(now);
         self.ask_for_permits(now);
@@ -52,12 +59,28 @@
             if issuer == self.node {
                 let grants = self.permit_issuer.request(&issuer, &request, now);
                 self.send_grants(grants, now);
+                self.announce_limits();
             } else {
                 self.send_limits(&issuer, LimitMessage::Request(request));
             }
         }
     }
 
+    /// Tells the relays of limits that this node began to issue for.
+    fn announce_limits(&mut self) {
+        let announcements = self.permit_issuer.take_announcements();
+        if announcements.is_empty() {
+            return;
+        }
+        let relays = self.setup.directory.borrow().replicating();
+        for announcement in announcements {
+            for relay in &relays {
+                let message = LimitMessage::Announce(announcement.clone());
+                self.send_limits(relay, message);
+            }
+        }
+    }
+
     /// Gives the permits that are due now.
     pub(super) fn issue_permits(&mut self, now: Millis) {
         let grants = self.permit_issuer.issue_due(now);
--- a/crates/daemon/src/session/mod.rs
+++ b/crates/daemon/src/session/mod.rs
@@ -7,6 +7,7 @@
 pub mod node_state;
 pub mod relay;
 pub mod relay_choice;
+mod relay_limits;
 mod relay_listing;
 pub mod session_actor;
 
--- a/crates/daemon/src/session/relay.rs
+++ b/crates/daemon/src/session/relay.rs
@@ -7,6 +7,7 @@
 use crate::replica::SharedStatus;
 use crate::session::large_updates::{LargeUpdates, UpdateKind};
 use crate::session::node_state::ListingLease;
+use crate::session::relay_limits::AnnouncementBudget;
 use crate::session::relay_listing::HeldListing;
 use silversail_consensus::Millis;
 use silversail_control::batch_owners::MakersByZone;
@@ -93,6 +94,7 @@
     pub(super) told_listing_at: BTreeMap<NodeName, Millis>,
     /// Back ends of each service that are not leaving, by zone, as the listing tells.
     pub(super) makers: BTreeMap<String, MakersByZone>,
+    pub(super) announcements: AnnouncementBudget,
 }
 
 impl RelayActor {
@@ -112,6 +114,7 @@
             listings: ListingUpdates::default(),
             told_listing_at: BTreeMap::new(),
             makers: BTreeMap::new(),
+            announcements: AnnouncementBudget::default(),
         })
     }
 
--- a/crates/limits/src/issuer.rs
+++ b/crates/limits/src/issuer.rs
@@ -1,6 +1,8 @@
 //! The node that issues the permits of a back end.
 
-use crate::messages::{KnownLimit, LimitState, PermitGrant, PermitRequest, Serial};
+use crate::messages::{
+    KnownLimit, LimitAnnouncement, LimitState, PermitGrant, PermitRequest, Serial,
+};
 use crate::pool::effective_per_second;
 use crate::Millis;
 use silversail_model::{NodeName, RequestRate};
@@ -15,10 +17,16 @@
 const BURST: f64 = 50.0;
 /// How long a request for permits counts that is not repeated, in milliseconds.
 const WANTED_FOR: Millis = 2_500;
-/// Once a limit is over, the rate doubles this often, in milliseconds, and so many times before
-/// the back end counts as any other: what waited must not come at once.
-const DOUBLES_EVERY: Millis = 500;
-const DOUBLINGS: u32 = 6;
+/// Once a limit is over, the rate rises this often, in milliseconds: what waited must not come at
+/// once.
+const RISES_EVERY: Millis = 500;
+/// The first rises double the rate; then the back end counts as any other, unless requests still
+/// wait.
+const DOUBLINGS: i32 = 6;
+/// Each further rise, until nobody waits.
+const LATER_RISE: f64 = 1.25;
+/// Rises at the most: more than any rate needs.
+const MOST_RISES: Millis = 100;
 /// How long an account is kept of which nobody asks, in milliseconds.
 const KEPT_FOR: Millis = 60_000;
 /// Distance to the serials of an issuer before, which are not all known.
@@ -66,6 +74,8 @@
     /// In the order in which they get their next permit.
     waiting: VecDeque<Waiting>,
     asked_at: Millis,
+    /// Whether all nodes are to be told of the limit.
+    is_news: bool,
 }
 
 impl Account {
@@ -79,6 +89,7 @@
             filled_at: now + TAKEOVER_PAUSE,
             waiting: VecDeque::new(),
             asked_at: now,
+            is_news: true,
         }
     }
 
@@ -87,18 +98,23 @@
         match self.phase {
             Phase::Limited => named,
             Phase::Recovering { since, .. } => {
-                let doublings = now.saturating_sub(since) / DOUBLES_EVERY;
-                named * 2_f64.powi(doublings.min(u64::from(DOUBLINGS)) as i32 + 1)
+                let rises = now.saturating_sub(since) / RISES_EVERY;
+                let rises = 1 + rises.min(MOST_RISES) as i32;
+                let later = (rises - DOUBLINGS).max(0);
+                named * 2_f64.powi(rises.min(DOUBLINGS)) * LATER_RISE.powi(later)
             }
         }
     }
 
-    fn is_over(&self, now: Millis) -> Option<Serial> {
+    /// The permit that showed the limit to be over, once the rate has risen so far that nobody
+    /// waits.
+    fn over_by(&self, now: Millis) -> Option<Serial> {
         match self.phase {
             Phase::Limited => None,
             Phase::Recovering { since, by } => {
-                let is_over = now.saturating_sub(since) >= DOUBLES_EVERY * Millis::from(DOUBLINGS);
-                is_over.then_some(by)
+                let risen_for = RISES_EVERY * DOUBLINGS as Millis;
+                let has_risen = now.saturating_sub(since) >= risen_for;
+                (has_risen && self.waiting.is_empty()).then_some(by)
             }
         }
     }
@@ -115,18 +131,15 @@
     fn hear(&mut self, request: &PermitRequest, now: Millis) {
         let told = request.limit;
         self.next_serial = self.next_serial.max(told.serial + 1);
-        let is_later = told.serial > self.limit.serial || told.rate < self.limit.rate;
-        if is_later {
+        if told.replaces(&self.limit) {
             self.fill(now);
-            self.limit = KnownLimit {
-                rate: told.rate,
-                serial: told.serial.max(self.limit.serial),
-            };
+            self.limit = told;
             let is_named_again = match self.phase {
                 Phase::Limited => true,
                 Phase::Recovering { by, .. } => told.serial > by,
             };
             if is_named_again {
+                self.is_news |= self.phase != Phase::Limited;
                 self.phase = Phase::Limited;
             }
         }
@@ -266,7 +279,7 @@
             .or_insert_with(|| Account::new(request, now));
         account.asked_at = now;
         account.hear(request, now);
-        if let Some(by) = account.is_over(now) {
+        if let Some(by) = account.over_by(now) {
             return vec![(from.clone(), lifted(backend, by))];
         }
         account.set_wanted(from, request, now);
@@ -292,17 +305,24 @@
             if account.waiting.is_empty() {
                 continue;
             }
-            if let Some(by) = account.is_over(now) {
-                let waiting = std::mem::take(&mut account.waiting).into_iter();
-                grants.extend(waiting.map(|one| (one.node, lifted(backend, by))));
-                continue;
-            }
             let issued = account.issue(now);
             grants.extend(account.grants(backend, issued, now));
         }
         grants
     }
 
+    /// The limits that all nodes are to be told of, each once.
+    pub fn take_announcements(&mut self) -> Vec<LimitAnnouncement> {
+        let accounts = self.accounts.iter_mut();
+        let news = accounts.filter_map(|(backend, account)| {
+            std::mem::take(&mut account.is_news).then(|| LimitAnnouncement {
+                backend: backend.clone(),
+                limit: account.limit,
+            })
+        });
+        news.collect()
+    }
+
     /// Whether nodes wait for permits.
     pub fn has_waiting(&self) -> bool {
         self.accounts.values().any(|one| !one.waiting.is_empty())
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -10,7 +10,9 @@
 mod pool;
 
 pub use issuer::{issuer_of, PermitIssuer};
-pub use messages::{KnownLimit, LimitMessage, LimitState, PermitGrant, PermitRequest, Serial};
+pub use messages::{
+    KnownLimit, LimitAnnouncement, LimitMessage, LimitState, PermitGrant, PermitRequest, Serial,
+};
 pub use pool::{Admission, Heard, Permit, PermitPool};
 
 /// Milliseconds of a node's own clock.
--- a/crates/limits/src/messages.rs
+++ b/crates/limits/src/messages.rs
@@ -16,6 +16,14 @@
     pub serial: Serial,
 }
 
+impl KnownLimit {
+    /// Whether it is a later word than another, or as late and lower.
+    pub(crate) fn replaces(&self, other: &Self) -> bool {
+        let is_lower = self.rate < other.rate;
+        self.serial > other.serial || (self.serial == other.serial && is_lower)
+    }
+}
+
 /// Asks for permits, and tells what the sender knows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitRequest {
@@ -59,6 +67,15 @@
     pub echo: Millis,
 }
 
+/// Tells that a back end has a limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitAnnouncement {
+    /// The start of the back end.
+    pub backend: String,
+    /// Its limit.
+    pub limit: KnownLimit,
+}
+
 /// Messages of limits.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LimitMessage {
@@ -66,4 +83,9 @@
     Request(PermitRequest),
     /// From the issuer.
     Grant(PermitGrant),
+    /// From the issuer to relays, which pass it on to their nodes: those that have not heard of a
+    /// limit would each find out by a request.
+    Announce(LimitAnnouncement),
+    /// From a relay.
+    Announced(LimitAnnouncement),
 }
--- a/crates/limits/src/pool.rs
+++ b/crates/limits/src/pool.rs
@@ -108,16 +108,16 @@
             self.has_news = true;
             return;
         };
-        let serial = permit.unwrap_or(0);
-        if serial <= known.serial && rate >= known.rate {
-            return;
-        }
+        let later = permit.filter(|serial| *serial > known.serial);
+        let serial = match later {
+            Some(serial) => serial,
+            // Held against what others know, it is the latest word.
+            None if rate < known.rate => known.serial.max(self.highest) + 1,
+            None => return,
+        };
         let is_again = self.lifted_by > 0 && serial > self.lifted_by;
         self.has_news |= known.rate != rate || is_again;
-        self.limit = Some(KnownLimit {
-            rate,
-            serial: serial.max(known.serial),
-        });
+        self.limit = Some(KnownLimit { rate, serial });
         if is_again {
             self.lifted_by = 0;
         }
@@ -256,10 +256,18 @@
         }
     }
 
+    /// Takes a limit that another node heard of.
+    pub fn take_announcement(&mut self, told: KnownLimit) -> Heard {
+        let before = self.limit();
+        self.follow(told);
+        Heard {
+            before,
+            after: self.limit(),
+        }
+    }
+
     fn follow(&mut self, told: KnownLimit) {
-        // The issuer hears of all words: what it tells later replaces what this node knew.
-        let is_later = |known: KnownLimit| told.serial > known.serial || told.rate < known.rate;
-        if self.limit.is_none_or(is_later) {
+        if self.limit.is_none_or(|known| told.replaces(&known)) {
             self.limit = Some(told);
         }
         self.highest = self.highest.max(told.serial);
--- a/crates/limits/tests/common/mod.rs
+++ b/crates/limits/tests/common/mod.rs
@@ -15,8 +15,6 @@
 const PATIENCE: Millis = 4_000;
 /// Span in which arrivals are counted, in any place.
 pub const WINDOW: Millis = 4_000;
-/// Time after which what a back end told a node counts.
-const HEARD_WITHIN: Millis = 500;
 /// Time after a limit was first named from which arrivals are counted.
 const COUNTED_AFTER: Millis = 3_000;
 /// How long a node that started again or stood still is not counted.
@@ -48,14 +46,14 @@
     inbox: BTreeMap<(Millis, u64), (NodeName, LimitMessage)>,
     frozen_until: Millis,
     excused_until: Millis,
-    told_at: Option<Millis>,
 }
 
 /// A request that reached the back end.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
     pub at: Millis,
-    /// Whether it counts by the users' rule.
+    /// Whether it counts: also where its node was told of the limit by other nodes only, which is
+    /// more than the users' rule counts.
     pub counts: bool,
 }
 
@@ -90,7 +88,6 @@
             inbox: BTreeMap::new(),
             frozen_until: 0,
             excused_until: 0,
-            told_at: None,
         });
         let mut run = Self {
             nodes: nodes.collect(),
@@ -154,7 +151,6 @@
                 one.pool = PermitPool::default();
                 one.issuer = PermitIssuer::default();
                 one.waiting.clear();
-                one.told_at = None;
                 one.excused_until = now + EXCUSED_FOR;
             }
             _ => {
@@ -198,9 +194,6 @@
             let answer = entry.remove();
             let node = &mut self.nodes[answer.node];
             node.pool.hear(answer.named, answer.permit, true);
-            if answer.named.is_some() {
-                node.told_at.get_or_insert(self.now);
-            }
         }
     }
 
@@ -247,11 +240,29 @@
                 if self.issuer_by(node) == Some(node) {
                     let grants = self.nodes[node].issuer.request(from, &request, now);
                     self.send_grants(node, grants);
+                    self.announce(node);
                 }
             }
             LimitMessage::Grant(grant) => {
                 self.nodes[node].pool.take_grant(&grant, now);
             }
+            LimitMessage::Announced(announced) => {
+                self.nodes[node].pool.take_announcement(announced.limit);
+            }
+            LimitMessage::Announce(_) => {}
+        }
+    }
+
+    /// Relays pass it on to all nodes.
+    fn announce(&mut self, node: usize) {
+        let announcements = self.nodes[node].issuer.take_announcements();
+        for announced in announcements {
+            for other in 0..self.nodes.len() {
+                let at = self.event(2..100);
+                let message = LimitMessage::Announced(announced.clone());
+                let from = self.nodes[node].name.clone();
+                self.nodes[other].inbox.insert(at, (from, message));
+            }
         }
     }
 
@@ -305,11 +316,10 @@
             self.first_named.get_or_insert(now);
         }
         let one = &self.nodes[node];
-        let was_told = one.told_at.is_some_and(|at| at + HEARD_WITHIN <= now);
         let is_late = self.first_named.is_some_and(|at| at + COUNTED_AFTER <= now);
         self.arrivals.push(Arrival {
             at: now,
-            counts: was_told && is_late && one.excused_until <= now,
+            counts: is_late && one.excused_until <= now,
         });
         // The head of a stream or of a slow answer comes late, and crosses others.
         let longest = if self.random.gen_ratio(1, 5) {
--- a/crates/limits/tests/fleet.rs
+++ b/crates/limits/tests/fleet.rs
@@ -15,6 +15,10 @@
     (limit * 3.0).max(30.0)
 }
 
+/// Messages for each request that callers ask for: one that asks, one that answers, one that gives
+/// the permit, and what is asked again and given up while it waits.
+const MOST_MESSAGES: f64 = 10.0;
+
 const NAMED_AT: u64 = 2_000;
 const SETTLED_AT: u64 = 8_000;
 
@@ -51,6 +55,16 @@
     let late = run.arrivals.iter().filter(|one| one.at >= SETTLED_AT);
     let could = limit * (length - SETTLED_AT) as f64 / 1_000.0;
     let share = late.count() as f64 / could;
+    let asked = asked_for(limit) * length as f64 / 1_000.0;
+    let messages = run.messages as f64 / asked;
+    println!("{nodes} nodes, {limit} a second: most {most}, used {share:.2}, {messages:.1} messages a request asked");
+    // Nodes that have not heard of it would each find out by a request.
+    let unheard = 2.0 * asked_for(limit) / could;
+    assert!(share <= 1.1 + unheard, "{share:.2} of the limit");
+    assert!(
+        messages <= MOST_MESSAGES,
+        "{messages:.1} messages a request"
+    );
     assert!(share >= 0.6, "{share:.2} of the limit is used");
 }
 
@@ -82,3 +96,44 @@
     );
     assert!(broken.is_empty(), "{} of {SEEDS}: {broken:?}", broken.len());
 }
+
+/// What waited for a limited back end does not reach it at once when the limit is over, and it
+/// gets all that is asked for soon.
+#[rstest]
+#[case::over(None, 30.0)]
+#[case::higher(Some(10.0), 10.0)]
+fn a_limit_that_ends_or_rises_releases_step_by_step(
+    #[values(9, 64)] nodes: usize,
+    #[case] then: Option<f64>,
+    #[case] expected_per_second: f64,
+) {
+    const CHANGED_AT: u64 = 14_000;
+    const SPAN: u64 = 250;
+    /// What waits at the most: all that is asked for in the four seconds of callers' patience. In
+    /// any span no more than a quarter of it goes, beside what is newly asked for.
+    const WAITING: f64 = 120.0;
+    const SETTLED_AFTER: u64 = 7_000;
+    const LENGTH: u64 = 30_000;
+    for seed in 0..20 {
+        let mut plan = steady(nodes, 1.0, LENGTH);
+        plan.limits.push((CHANGED_AT, then));
+        let run = Run::play(plan, seed);
+        let times = run.arrivals.iter().map(|one| one.at);
+        let times: Vec<u64> = times.filter(|at| *at >= CHANGED_AT).collect();
+        let in_span = |from: u64| {
+            let inside = times.iter().filter(|at| (from..from + SPAN).contains(*at));
+            inside.count()
+        };
+        let asked = 30.0 * SPAN as f64 / 1_000.0;
+        let borne = WAITING / 4.0 + asked;
+        let most = times.iter().map(|from| in_span(*from)).max();
+        assert!(
+            most.unwrap_or(0) as f64 <= borne,
+            "{most:?} in {SPAN} ms, seed {seed}"
+        );
+        let settled = CHANGED_AT + SETTLED_AFTER;
+        let late = times.iter().filter(|at| **at >= settled).count();
+        let share = late as f64 * 1_000.0 / (LENGTH - settled) as f64 / expected_per_second;
+        assert!(share >= 0.8, "{share:.2} of what is asked for, seed {seed}");
+    }
+}
--- a/crates/peer/src/kind.rs
+++ b/crates/peer/src/kind.rs
@@ -15,6 +15,7 @@
             PeerMessage::Work(message) => message.kind(),
             PeerMessage::Limits(LimitMessage::Request(_)) => "permit_request",
             PeerMessage::Limits(LimitMessage::Grant(_)) => "permit_grant",
+            PeerMessage::Limits(LimitMessage::Announce(_) | LimitMessage::Announced(_)) => "limit",
         }
     }
 }
--- a/crates/serving/src/notices.rs
+++ b/crates/serving/src/notices.rs
@@ -10,7 +10,9 @@
 use crate::ports::SelfReport;
 use crate::Millis;
 use silversail_decisions::{DecisionLog, Event};
-use silversail_limits::{Admission, Heard, Permit, PermitGrant, PermitPool, PermitRequest, Serial};
+use silversail_limits::{
+    Admission, Heard, LimitAnnouncement, Permit, PermitGrant, PermitPool, PermitRequest, Serial,
+};
 use silversail_model::RequestRate;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -403,6 +405,15 @@
         self.note_limit(&mut entries, id, &heard, PEER, from);
     }
 
+    /// Takes a limit that the node `from` told of.
+    pub fn take_announcement(&self, from: &str, announced: &LimitAnnouncement) {
+        let mut entries = self.lock();
+        let id = &announced.backend;
+        let notice = entries.entry(id).notice.clone();
+        let heard = notice.permits().take_announcement(announced.limit);
+        self.note_limit(&mut entries, id, &heard, PEER, from);
+    }
+
     /// Those that have a limit, each with it.
     pub fn limited(&self) -> Vec<(InstanceId, RequestRate)> {
         let entries = self.lock();
--- /dev/null
+++ b/crates/serving/tests/limits.rs
@@ -0,0 +1,267 @@
+//! Engines and makers that take only so many requests from all nodes together: what they get from
+//! this node, and what becomes of requests that only they may have.
+
+mod common;
+
+use common::{call_of, dispatcher, instances, list_of};
+use rstest::rstest;
+use silversail_limits::{KnownLimit, LimitState, PermitGrant, Serial};
+use silversail_model::{NamedLimit, RequestRate, ResultCode};
+use silversail_serving::dispatcher::{Action, Dispatcher, NotRunReason, Refusal, SendOutcome};
+use silversail_serving::instances::InstanceTable;
+use silversail_serving::notices::{AnswerContext, AnswerPath, Withheld};
+use silversail_serving::ports::SelfReport;
+use std::collections::BTreeMap;
+
+const WITHHELD: SendOutcome = SendOutcome::NotRun(NotRunReason::Withheld);
+const NONE_WAITING: BTreeMap<String, u32> = BTreeMap::new();
+
+fn rate(per_second: f64) -> RequestRate {
+    RequestRate::per_second(per_second).expect("a rate")
+}
+
+fn limit(per_second: f64) -> SelfReport {
+    SelfReport {
+        limit: NamedLimit {
+            lowest: Some(rate(per_second)),
+            is_unreadable: false,
+        },
+        ..SelfReport::default()
+    }
+}
+
+fn hear(table: &InstanceTable, ids: &[&str], per_second: f64) {
+    for id in ids {
+        let said = limit(per_second);
+        table.notices().hear(id, AnswerPath::Request, &said, 0);
+    }
+    table.notices().permit_requests(&NONE_WAITING, 0);
+}
+
+fn grant(backend: &str, first: Serial, count: u32, wait_ms: u64) -> PermitGrant {
+    PermitGrant {
+        backend: backend.into(),
+        state: LimitState::Limited(KnownLimit {
+            rate: rate(1.0),
+            serial: 1,
+        }),
+        first,
+        count,
+        wait_ms,
+        echo: 0,
+    }
+}
+
+fn sent_to(actions: &[Action]) -> Option<String> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { plan, .. } => Some(plan.instance.clone()),
+        _ => None,
+    })
+}
+
+fn refusals(actions: &[Action]) -> Vec<(u64, Refusal)> {
+    let refused = actions.iter().filter_map(|action| match action {
+        Action::Answer { number, refusal } => Some((*number, *refusal)),
+        _ => None,
+    });
+    refused.collect()
+}
+
+fn ask(dispatcher: &mut Dispatcher, number: u64, now: u64) -> Vec<Action> {
+    dispatcher.arrive(number, call_of(&format!("r{number}"), "/gate/x"), now)
+}
+
+#[test]
+fn a_limited_engine_gets_what_there_are_permits_for_and_the_other_the_rest() {
+    let mut dispatcher = dispatcher();
+    hear(&dispatcher.instances, &["g1"], 1.0);
+    dispatcher
+        .instances
+        .notices()
+        .take_grant("n2", &grant("g1", 10, 1, 0), 5);
+    let to = (0..6).map(|number| sent_to(&ask(&mut dispatcher, number, 10)));
+    let to: Vec<String> = to.flatten().collect();
+    let limited = to.iter().filter(|one| *one == "g1").count();
+    assert_eq!((limited, to.len()), (1, 6));
+}
+
+#[test]
+fn no_list_takes_a_limit_back() {
+    let mut dispatcher = dispatcher();
+    hear(&dispatcher.instances, &["g1"], 1.0);
+    let without: Vec<_> = instances()
+        .into_iter()
+        .filter(|one| one.id != "g1")
+        .collect();
+    dispatcher.take_listing(&list_of(&without), 100);
+    dispatcher.take_listing(&list_of(&instances()), 1_100);
+    assert_eq!(
+        sent_to(&ask(&mut dispatcher, 1, 1_200)).as_deref(),
+        Some("g2")
+    );
+}
+
+/// The choice was made while there was no limit, or with a permit that another request took.
+#[test]
+fn a_request_that_finds_no_permit_when_it_leaves_is_chosen_anew() {
+    let mut dispatcher = dispatcher();
+    let first = sent_to(&ask(&mut dispatcher, 1, 0)).expect("sent");
+    hear(&dispatcher.instances, &[&first], 1.0);
+    let admitted = dispatcher.instances.notices().admit(&first, 5);
+    assert_eq!(admitted, Err(Withheld::Limited));
+    let second = sent_to(&dispatcher.send_ended(1, WITHHELD, None, 5)).expect("sent anew");
+    assert_ne!(second, first);
+}
+
+#[test]
+fn a_permit_is_for_one_request_on_whatever_path() {
+    let dispatcher = dispatcher();
+    let notices = dispatcher.instances.notices();
+    hear(&dispatcher.instances, &["g1"], 1.0);
+    notices.take_grant("n2", &grant("g1", 10, 1, 0), 5);
+    let permit = notices.admit("g1", 10).expect("admitted");
+    assert_eq!(permit.map(|one| one.serial), Some(10));
+    assert_eq!(notices.admit("g1", 10), Err(Withheld::Limited));
+    notices.give_back("g1", permit.expect("a permit"));
+    assert!(notices.admit("g1", 20).is_ok());
+}
+
+#[test]
+fn an_answer_to_a_permitted_request_is_what_ends_a_limit() {
+    let dispatcher = dispatcher();
+    let notices = dispatcher.instances.notices();
+    hear(&dispatcher.instances, &["g1"], 1.0);
+    let lifted_by = |permit, is_sound| {
+        let answer = AnswerContext {
+            path: AnswerPath::Request,
+            permit,
+            is_sound,
+        };
+        notices.hear("g1", answer, &SelfReport::default(), 20);
+        let told = notices.permit_requests(&NONE_WAITING, 20);
+        told.first().map(|request| request.lifted_by)
+    };
+    assert_eq!(lifted_by(None, true), None);
+    assert_eq!(lifted_by(Some(10), false), None);
+    assert_eq!(lifted_by(Some(10), true), Some(10));
+}
+
+mod where_all_are_limited {
+    use super::*;
+
+    fn limited() -> Dispatcher {
+        let dispatcher = dispatcher();
+        hear(&dispatcher.instances, &["g1", "g2"], 1.0);
+        dispatcher
+    }
+
+    #[test]
+    fn a_request_waits_for_a_permit_and_goes_with_it() {
+        let mut dispatcher = limited();
+        assert!(ask(&mut dispatcher, 1, 0).is_empty());
+        let wanted = dispatcher.permits_wanted();
+        let (engine, count) = wanted.iter().next().expect("wants one");
+        assert_eq!((wanted.len(), *count), (1, 1));
+        assert!(dispatcher.send_waiting(200).is_empty());
+        dispatcher
+            .instances
+            .notices()
+            .take_grant("n2", &grant(engine, 10, 1, 0), 300);
+        let sent = sent_to(&dispatcher.send_waiting(300));
+        assert_eq!(sent.as_ref(), Some(engine));
+        assert!(dispatcher.permits_wanted().is_empty());
+    }
+
+    #[test]
+    fn the_most_urgent_of_those_that_wait_gets_the_first_permit() {
+        let mut dispatcher = limited();
+        for number in 1..=3 {
+            let mut call = call_of(&format!("r{number}"), "/gate/x");
+            call.deadline_ms = Some(4_500 - 500 * number);
+            assert!(dispatcher.arrive(number, call, 0).is_empty());
+        }
+        dispatcher
+            .instances
+            .notices()
+            .take_grant("n2", &grant("g1", 10, 1, 0), 300);
+        let sent = dispatcher.send_waiting(300);
+        let number = sent.iter().find_map(|action| match action {
+            Action::Send { number, .. } => Some(*number),
+            _ => None,
+        });
+        assert_eq!(number, Some(3));
+    }
+
+    /// The issuer told that the last permit comes in eight seconds; callers wait four.
+    #[test]
+    fn what_gets_no_permit_in_time_is_refused_at_once_with_the_time() {
+        let mut dispatcher = limited();
+        for number in 1..=4 {
+            assert!(ask(&mut dispatcher, number, 0).is_empty());
+        }
+        let mut refused = Vec::new();
+        let notices = dispatcher.instances.notices().clone();
+        for (engine, count) in dispatcher.permits_wanted() {
+            let waiting = BTreeMap::from([(engine.clone(), count)]);
+            notices.permit_requests(&waiting, 10);
+            notices.take_grant("n2", &grant(&engine, 10, 0, 8_000), 20);
+            refused.extend(refusals(&dispatcher.refuse_without_permit(&engine, 20)));
+        }
+        assert!(!refused.is_empty());
+        for (number, refusal) in &refused {
+            assert_eq!(refusal.code, ResultCode::BackendsLimited, "{number}");
+            assert!(refusal.retry_after_ms.is_some_and(|wait| wait >= 3_900));
+        }
+        let open = dispatcher.open_requests();
+        assert_eq!(open + refused.len(), 4);
+    }
+
+    #[rstest]
+    #[case::a_second_apart(1.0, true)]
+    #[case::ten_seconds_apart(0.1, false)]
+    fn a_request_that_can_have_no_permit_in_time_is_refused_before_its_phases(
+        #[case] per_second: f64,
+        #[case] is_taken: bool,
+    ) {
+        let mut dispatcher = dispatcher();
+        hear(&dispatcher.instances, &["e1", "e2", "e3"], per_second);
+        let mut staged = call_of("r", "/staged/x");
+        staged.pieces = vec![1, 1, 1];
+        let actions = dispatcher.arrive(1, staged, 10);
+        let is_submitted = |action: &Action| matches!(action, Action::Submit { .. });
+        assert_eq!(actions.iter().any(is_submitted), is_taken);
+        let code = refusals(&actions).first().map(|(_, refusal)| refusal.code);
+        let expected = (!is_taken).then_some(ResultCode::BackendsLimited);
+        assert_eq!(code, expected);
+    }
+}
+
+mod makers {
+    use super::*;
+    use common::batches::{batcher, key, table, whole, work};
+
+    #[test]
+    fn a_limited_maker_gets_calls_with_permits_only_and_counts_by_its_limit() {
+        let (table, mut batcher) = (table(&[("s1", "a"), ("s2", "a")]), batcher());
+        for request in 1..=3 {
+            let taken = batcher.submit(key(request), work(request, 8), &table, 0);
+            taken.expect("taken");
+        }
+        let before = batcher.waits(&whole(), &table, 0);
+        hear(&table, &["s1"], 1.0);
+        let after = batcher.waits(&whole(), &table, 0);
+        assert!(after.queue_ms > before.queue_ms, "{before:?}, {after:?}");
+        let calls = batcher.next_calls(&table, 0);
+        let makers: Vec<&str> = calls.iter().map(|call| call.instance.as_str()).collect();
+        assert_eq!(makers, ["s2"]);
+        assert_eq!(batcher.permits_wanted(&table, 0), ["s1"]);
+        table.notices().take_grant("n2", &grant("s1", 10, 1, 0), 5);
+        let calls = batcher.next_calls(&table, 10);
+        assert_eq!(calls.len(), 1);
+        assert_eq!(
+            (calls[0].instance.as_str(), calls[0].pieces.len()),
+            ("s1", 8)
+        );
+        assert!(batcher.next_calls(&table, 20).is_empty());
+    }
+}
