--- a/crates/simulation/tests/listing.rs
+++ b/crates/simulation/tests/listing.rs
@@ -180,6 +180,48 @@
 /// Back ends of a list that takes a while over a slow link.
 const MANY: u64 = 6_000;
 
+/// The leader's reads did not arrive for a while, a voter read in its place and found other
+/// entries; then the leader reads again and finds its own list unchanged.
+#[test]
+fn a_voter_that_read_in_the_leaders_place_stops_when_the_leader_reads_again() {
+    const STEP: u64 = 100;
+    const STEPS_OF_A_READ: usize = 5;
+    /// Ten leases.
+    const STEPS: usize = 200;
+    for seed in 0..8 {
+        let mut world = World::new(seed, SIZE);
+        world.run_for(4_000);
+        read(&mut world, &[entry(false)], 3);
+        let leader = world.leader(GroupId::Control).expect("a leader");
+        let voter = (0..SIZE.voters).find(|voter| *voter != leader);
+        let voter = voter.expect("another voter");
+        world.run_for(LEASE + 100);
+        let mut reads_of_voter = 0;
+        for step in 0..STEPS {
+            if !knows(&world, voter).1 {
+                reads_of_voter += 1;
+                let node = world.places[voter].node.as_ref().expect("runs");
+                node.actors.list_read(vec![entry(true)]);
+                world.wake(voter);
+            }
+            world.run_for(STEP);
+            if step % STEPS_OF_A_READ == STEPS_OF_A_READ - 1 {
+                let node = world.places[leader].node.as_ref().expect("runs");
+                node.actors.list_read(vec![entry(false)]);
+                world.wake(leader);
+            }
+        }
+        assert_eq!(reads_of_voter, 1, "seed {seed}");
+        for node in 0..SIZE.nodes {
+            assert_eq!(
+                knows(&world, node),
+                (Some(false), true),
+                "node {node}, seed {seed}"
+            );
+        }
+    }
+}
+
 /// A node that starts sends heartbeats each 100 ms, and its first list takes longer than that.
 #[test]
 fn a_list_on_its_way_for_a_quarter_of_a_second_is_not_sent_again() {
