--- a/crates/serving/src/notices.rs
+++ b/crates/serving/src/notices.rs
@@ -6,16 +6,18 @@
 //! only, leaving by a later start of the back end, which has an identity of its own. The threads
 //! that read answers write here before anything else is sent.
 
+mod limits;
+mod notice;
+
+pub use notice::Notice;
+
 use crate::instances::InstanceId;
 use crate::ports::SelfReport;
 use crate::Millis;
 use silversail_decisions::{DecisionLog, Event};
-use silversail_limits::{
-    Admission, Heard, LimitAnnouncement, Permit, PermitGrant, PermitPool, PermitRequest, Serial,
-};
-use silversail_model::RequestRate;
+use silversail_limits::Serial;
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -24,9 +26,6 @@
 /// far more than back ends take to leave, and a back end takes some 200 bytes.
 const KEPT_UNLISTED_FOR: Millis = 600_000;
 
-/// Stands in the log in the place of a kind of exchange where another node told.
-const PEER: &str = "peer";
-
 /// Names of headers that are told of as unknown at most; further ones are not told.
 const MOST_UNKNOWN_NAMES: usize = 32;
 
@@ -113,97 +112,6 @@
     }
 }
 
-/// What one back end said of itself. Read without a lock, but for its permits.
-#[derive(Debug, Default)]
-pub struct Notice {
-    is_limited: AtomicBool,
-    permits: Mutex<PermitPool>,
-    rest_until: AtomicU64,
-    rest_ms: AtomicU64,
-    has_rested: AtomicBool,
-    is_leaving: AtomicBool,
-}
-
-impl Notice {
-    /// When its rest ends; in the past where it wants none.
-    pub fn rest_until(&self) -> Millis {
-        self.rest_until.load(Ordering::Acquire)
-    }
-
-    /// Length of the rest that ends last, in milliseconds; 0 where it never wanted one.
-    pub fn rest_ms(&self) -> Millis {
-        self.rest_ms.load(Ordering::Acquire)
-    }
-
-    /// Whether it wants nothing at `now`.
-    pub fn is_resting(&self, now: Millis) -> bool {
-        now < self.rest_until()
-    }
-
-    /// Whether it asked for rest and nothing was heard of it since the end of that.
-    pub fn has_rested(&self) -> bool {
-        self.has_rested.load(Ordering::Acquire)
-    }
-
-    /// Whether its rest is over and nothing was heard of it since.
-    pub fn is_unproven(&self, now: Millis) -> bool {
-        self.has_rested() && !self.is_resting(now)
-    }
-
-    /// Whether it said that it leaves.
-    pub fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Acquire)
-    }
-
-    fn permits(&self) -> MutexGuard<'_, PermitPool> {
-        // Each step leaves the pool whole, also where a thread ended.
-        self.permits
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-
-    /// Whether it takes only so many requests from all nodes together.
-    pub fn is_limited(&self) -> bool {
-        self.is_limited.load(Ordering::Acquire)
-    }
-
-    /// How many requests it takes from all nodes together; none where it has no limit.
-    pub fn limit(&self) -> Option<RequestRate> {
-        self.is_limited().then(|| self.permits().limit())?
-    }
-
-    /// When this node can have a permit that it asks for now; none where it has one or needs none.
-    pub fn permit_at(&self, now: Millis) -> Option<Millis> {
-        self.is_limited().then(|| self.permits().next_at(now))?
-    }
-
-    /// When the `place`-th request that waits for a permit gets one, counted from 1; none where
-    /// that is not known.
-    pub fn permit_expected_at(&self, place: u32, now: Millis) -> Option<Millis> {
-        self.permits().expected_at(place, now)
-    }
-
-    /// A request was decided that goes there.
-    pub fn choose_permit(&self, now: Millis) {
-        if self.is_limited() {
-            self.permits().choose(now);
-        }
-    }
-
-    /// A request would rather have gone there.
-    pub fn prefer(&self, now: Millis) {
-        self.permits().prefer(now);
-    }
-
-    /// Why nothing may be sent to it at `now`; none where it may get work.
-    pub fn withheld(&self, now: Millis) -> Option<Withheld> {
-        if self.is_leaving() {
-            return Some(Withheld::Leaving);
-        }
-        self.is_resting(now).then_some(Withheld::Resting)
-    }
-}
-
 #[derive(Default)]
 struct Entry {
     notice: Arc<Notice>,
@@ -326,105 +234,6 @@
         news
     }
 
-    /// Keeps and tells that a back end has another limit than before, or none any more.
-    fn note_limit(&self, entries: &mut Entries, id: &str, heard: &Heard, path: &str, by: &str) {
-        if !heard.is_change() {
-            return;
-        }
-        let is_limited = heard.after.is_some();
-        let notice = &entries.entry(id).notice;
-        notice.is_limited.store(is_limited, Ordering::Release);
-        match is_limited {
-            true => entries.limited.insert(id.to_owned()),
-            false => entries.limited.remove(id),
-        };
-        self.limits.store(entries.limited.len(), Ordering::Release);
-        self.log.record(Event::LimitChanged {
-            backend: id.to_owned(),
-            before: heard.before.map(RequestRate::requests_per_second),
-            per_second: heard.after.map(RequestRate::requests_per_second),
-            path: path.to_owned(),
-            told_by: by.to_owned(),
-        });
-    }
-
-    /// Whether back ends have limits.
-    pub fn has_limits(&self) -> bool {
-        self.limits.load(Ordering::Acquire) > 0
-    }
-
-    /// Whether a request may leave for a back end at `now`, with the permit that it takes where
-    /// the back end has a limit.
-    pub fn admit(&self, id: &str, now: Millis) -> Result<Option<Permit>, Withheld> {
-        let notice = self.of(id);
-        if let Some(reason) = notice.withheld(now) {
-            return Err(reason);
-        }
-        if !notice.is_limited() {
-            return Ok(None);
-        }
-        let admission = notice.permits().admit(now);
-        match admission {
-            Admission::Unlimited => Ok(None),
-            Admission::Permitted(permit) => Ok(Some(permit)),
-            Admission::Withheld => Err(Withheld::Limited),
-        }
-    }
-
-    /// A request that took a permit was not sent.
-    pub fn give_back(&self, id: &str, permit: Permit) {
-        self.of(id).permits().give_back(permit);
-    }
-
-    /// What is to be told to the issuers of permits at `now`, where so many requests wait for
-    /// each back end.
-    pub fn permit_requests(
-        &self,
-        waiting: &BTreeMap<InstanceId, u32>,
-        now: Millis,
-    ) -> Vec<PermitRequest> {
-        if !self.has_limits() {
-            return Vec::new();
-        }
-        let entries = self.lock();
-        let limited = entries.limited.iter();
-        let requests = limited.filter_map(|id| {
-            let mut permits = entries.by_id.get(id)?.notice.permits();
-            permits.set_waiting(waiting.get(id).copied().unwrap_or(0), now);
-            permits.request_due(id, now)
-        });
-        requests.collect()
-    }
-
-    /// Takes what the issuer `from` sent.
-    pub fn take_grant(&self, from: &str, grant: &PermitGrant, now: Millis) {
-        let mut entries = self.lock();
-        let id = &grant.backend;
-        let notice = entries.entry(id).notice.clone();
-        let heard = notice.permits().take_grant(grant, now);
-        self.note_limit(&mut entries, id, &heard, PEER, from);
-    }
-
-    /// Takes a limit that the node `from` told of.
-    pub fn take_announcement(&self, from: &str, announced: &LimitAnnouncement) {
-        let mut entries = self.lock();
-        let id = &announced.backend;
-        let notice = entries.entry(id).notice.clone();
-        let heard = notice.permits().take_announcement(announced.limit);
-        self.note_limit(&mut entries, id, &heard, PEER, from);
-    }
-
-    /// Those that have a limit, each with it.
-    pub fn limited(&self) -> Vec<(InstanceId, RequestRate)> {
-        let entries = self.lock();
-        let limited = entries.limited.iter();
-        let with_limit = limited.filter_map(|id| {
-            let limit = entries.by_id.get(id)?.notice.limit()?;
-            Some((id.clone(), limit))
-        });
-        with_limit.collect()
-    }
-
     fn note_unknown(&self, id: &str, names: &[String]) {
         if names.is_empty() {
             return;
