Emulated back ends name limits over time

Cause: no stand-in of ours named a limit, so that no test or soak by hand could show the fault of the incident. Change: conduct in the emulator's file takes limits (from when, how long, requests a second), named in all answers of engines and services.

The daemon's sources are as they were.

--- a/crates/daemon/tests/resting_backends.rs
+++ b/crates/daemon/tests/resting_backends.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use serde_json::{json, Value};
 use silversail_testbed::cluster::wait_until;
-use silversail_testbed::emulate::conduct::{ConductConfig, ShedConfig};
+use silversail_testbed::emulate::conduct::{ConductConfig, LimitConfig, ShedConfig};
 use silversail_testbed::ClusterOptions;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -205,7 +205,7 @@
             percent: 100,
             rest_ms: Some(LENGTH.as_millis() as u64),
         }],
-        leaves_after_ms: None,
+        ..ConductConfig::default()
     });
     let was_turned_away = |seen: &[(String, u64)]| seen.iter().any(|(_, tries)| *tries > 1);
     let until_asked = generations(&bench, was_turned_away);
@@ -225,8 +225,8 @@
 fn told_in_answers_a_pipelines_engine_that_leaves_gets_no_generation() {
     let bench = Bench::start(ClusterOptions::new(3, 3));
     bench.emulator.faults["engine-1"].set_conduct(ConductConfig {
-        sheds: Vec::new(),
         leaves_after_ms: Some(0),
+        ..ConductConfig::default()
     });
     let began = Instant::now();
     let seen = generations(&bench, |_| began.elapsed() > Duration::from_secs(4));
@@ -235,3 +235,26 @@
     assert!(at_leaving <= 1, "{at_leaving} of {}", seen.len());
     assert!(seen.len() > 20, "{}", seen.len());
 }
+
+/// Operators see it by the process that was told.
+#[test]
+fn a_limit_that_a_pipelines_engine_names_is_told_to_operators() {
+    let bench = Bench::start(ClusterOptions::new(3, 3));
+    bench.emulator.faults["engine-1"].set_conduct(ConductConfig {
+        limits: vec![LimitConfig {
+            from_ms: 0,
+            for_ms: 60_000,
+            per_second: 2.5,
+        }],
+        ..ConductConfig::default()
+    });
+    let came_there = |seen: &[(String, u64)]| seen.iter().any(|(engine, _)| engine == "engine-1");
+    generations(&bench, came_there);
+    let status = bench.cluster.status(0).expect("a status");
+    let limits = status["limited_backends"].as_array().expect("a list");
+    let told: Vec<f64> = limits
+        .iter()
+        .filter_map(|limit| limit["per_second"].as_f64())
+        .collect();
+    assert_eq!(told, [2.5], "{status}");
+}
--- a/crates/testbed/src/emulate/conduct.rs
+++ b/crates/testbed/src/emulate/conduct.rs
@@ -1,4 +1,5 @@
-//! Emulated back ends that turn calls away for a while and ask for rest, or say that they leave.
+//! Emulated back ends that turn calls away for a while and ask for rest, say that they leave, or name
+//! a limit.
 
 use serde::Deserialize;
 use silversail_http::ResponseHead;
@@ -7,6 +8,7 @@
 const JSON: &str = "application/json";
 const RETRY_AFTER: &str = "retry-after";
 const LEAVING: &str = "silversail-leaving";
+const LIMIT: &str = "silversail-limit";
 
 /// A time in which a back end turns calls away.
 #[derive(Clone, Debug, Deserialize)]
@@ -24,6 +26,18 @@
     pub rest_ms: Option<u64>,
 }
 
+/// A time in which a back end names a limit in all answers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LimitConfig {
+    /// When it begins, in milliseconds since the start.
+    pub from_ms: u64,
+    /// How long it lasts, in milliseconds.
+    pub for_ms: u64,
+    /// Requests a second from all nodes together.
+    pub per_second: f64,
+}
+
 fn all() -> u64 {
     100
 }
@@ -36,6 +50,8 @@
     pub sheds: Vec<ShedConfig>,
     /// From when it says in all answers that it leaves, in milliseconds since the start.
     pub leaves_after_ms: Option<u64>,
+    /// When it names a limit.
+    pub limits: Vec<LimitConfig>,
 }
 
 /// The conduct of a back end that runs.
@@ -90,6 +106,12 @@
         if leaves_after.is_some_and(|after| self.elapsed_ms() >= after) {
             head.headers.push((LEAVING, "1".to_owned()));
         }
+        let now = self.elapsed_ms();
+        let is_on =
+            |limit: &&LimitConfig| (limit.from_ms..limit.from_ms + limit.for_ms).contains(&now);
+        if let Some(limit) = self.config.limits.iter().find(is_on) {
+            head.headers.push((LIMIT, limit.per_second.to_string()));
+        }
         head
     }
 }
