--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -136,7 +136,8 @@
         /// How far the back end is: `same_zone`, `same_region` or `other_region`.
         distance: String,
     },
-    /// A request waits, as all engines that may have it rest.
+    /// A request waits, as all engines that may have it rest, or have limits and this node no
+    /// permit.
     WaitsForRest {
         /// The caller's identifier.
         request: String,
--- a/crates/serving/src/batcher/makers.rs
+++ b/crates/serving/src/batcher/makers.rs
@@ -235,8 +235,7 @@
         usable
     }
 
-    /// Makers that are limited and have no permit, for which pieces wait: the more the less of the
-    /// limits is left unused.
+    /// Limited makers for which this node has no permit.
     pub(super) fn without_permit<'a>(
         &self,
         shard: &'a Shard,
