A node cut off from all back ends leaves the entry points and gives its batches up

Callers of machines that had lost their links to the engines were served far worse than others, and where the owner of a stage's calls was among them, all nodes refused requests with that stage. Cause: nothing asked whether a node reaches any back end. It stayed in the entry points and kept its shards, and its failures were written to the back ends' health and told as crashes.

Failures at two back ends within 2 s now start a check: probes of six back ends of different services. If none accepts, the node reports itself withdrawn, by the flag that a stopping node sets, so that leaders and relays of other builds understand it. The leader gives its shards to others; it rejects their orders 250 ms later, and submitters send them to the new owner. Crashes wait for the check. Two good rounds of probes end it, and what was recorded of back ends is forgotten.

--- a/crates/control/src/membership_table.rs
+++ b/crates/control/src/membership_table.rs
@@ -16,8 +16,8 @@
 
 struct Lease {
     status: NodeStatus,
-    /// Whether the node reported that it is stopping.
-    stopping: bool,
+    /// Whether the node takes itself out of service.
+    withdrawn: bool,
     expires_at: Millis,
 }
 
@@ -43,7 +43,7 @@
             .map(|status| {
                 let lease = Lease {
                     status: status.clone(),
-                    stopping: false,
+                    withdrawn: false,
                     expires_at: now + lease_duration,
                 };
                 (status.node.clone(), lease)
@@ -81,14 +81,14 @@
             zone: report.zone.clone(),
             caller_address: report.caller_address.clone(),
             processor_percent: report.processor_percent,
-            usable: report.serving && !report.stopping,
+            usable: report.serving && !report.withdrawn,
         };
         let expires_at = now + self.lease_duration;
         match self.leases.get_mut(&report.node) {
             Some(lease) if lease.status.incarnation > report.incarnation => {}
             Some(lease) => {
                 lease.expires_at = expires_at;
-                lease.stopping = report.stopping;
+                lease.withdrawn = report.withdrawn;
                 if lease.status != status {
                     lease.status = status;
                     self.version.sequence += 1;
@@ -97,7 +97,7 @@
             None => {
                 let lease = Lease {
                     status,
-                    stopping: report.stopping,
+                    withdrawn: report.withdrawn,
                     expires_at,
                 };
                 self.leases.insert(report.node.clone(), lease);
@@ -135,7 +135,7 @@
             false => OwnerPlacement::Any,
         };
         let leases = self.leases.values();
-        let remaining = leases.filter(|lease| !lease.stopping);
+        let remaining = leases.filter(|lease| !lease.withdrawn);
         let candidates: Vec<OwnerCandidate> = remaining
             .map(|lease| OwnerCandidate {
                 node: &lease.status.node,
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -32,8 +32,8 @@
     pub caller_address: String,
     /// Share of a processor core that the node may use, in percent.
     pub processor_percent: u16,
-    /// Whether the node is shutting down.
-    pub stopping: bool,
+    /// Whether the node takes itself out of service: it is shutting down, or reaches no back end.
+    pub withdrawn: bool,
     /// Whether the node's configuration is current enough to serve callers.
     pub serving: bool,
     /// Configuration revision in force on the node.
--- a/crates/control/tests/evidence_table.rs
+++ b/crates/control/tests/evidence_table.rs
@@ -38,7 +38,7 @@
         zone: "z".to_owned(),
         caller_address: "127.0.0.1:1".to_owned(),
         processor_percent: 100,
-        stopping: false,
+        withdrawn: false,
         serving: true,
         revision: None,
         traffic: None,
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -17,14 +17,14 @@
     }
 }
 
-fn report(incarnation: u64, stopping: bool) -> NodeReport {
+fn report(incarnation: u64, withdrawn: bool) -> NodeReport {
     NodeReport {
         node: "n1".into(),
         incarnation,
         zone: "a".into(),
         caller_address: "127.0.0.1:2".into(),
         processor_percent: 100,
-        stopping,
+        withdrawn,
         serving: true,
         revision: Some(1),
         traffic: None,
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -18,7 +18,7 @@
         zone: "a".into(),
         caller_address: "127.0.0.1:1".into(),
         processor_percent: 10,
-        stopping: false,
+        withdrawn: false,
         serving: true,
         revision: None,
         traffic: None,
--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -60,19 +60,23 @@
         self.detector.probe_finished(backend, answer)
     }
 
-    /// Counts the lost connections. If the back end crashed, its suspects are added to
-    /// `quarantine` and reported at once. Returns whether a crash was reported.
+    /// Counts the lost connections of a diagnosis.
+    pub fn count_lost_connections(&self, diagnosis: &Diagnosis) {
+        let labels = [diagnosis.service.as_str(), diagnosis.answer.cause()];
+        let counter = &self.metrics.broken_connections;
+        counter
+            .with_label_values(&labels)
+            .inc_by(diagnosis.sends.len() as u64);
+    }
+
+    /// If the back end crashed, adds its suspects to `quarantine` and reports them at once. Returns
+    /// whether a crash was reported.
     pub fn report_crash(
         &mut self,
         diagnosis: &Diagnosis,
         quarantine: &mut RequestQuarantine,
         now: Millis,
     ) -> bool {
-        let labels = [diagnosis.service.as_str(), diagnosis.answer.cause()];
-        let counter = &self.metrics.broken_connections;
-        counter
-            .with_label_values(&labels)
-            .inc_by(diagnosis.sends.len() as u64);
         if diagnosis.answer != ProbeResult::Refused {
             return false;
         }
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -7,6 +7,7 @@
 use crate::gateway::calls::GatewayCalls;
 use crate::gateway::event::{Decision, GatewayEvent};
 use crate::gateway::owners::OwnerMonitor;
+use crate::gateway::reachability::BackendPartition;
 use crate::gateway::result_freeing::DelayedFrees;
 use crate::gateway::send_metrics::outcome_label;
 use crate::gateway::startup_queue::{QueuedRequest, StartupQueue};
@@ -129,6 +130,8 @@
     pub(super) call_failure_counters: BTreeMap<CallId, IntCounter>,
     /// Diagnoses lost connections to back ends and reports crashes.
     pub(super) crash_reporter: CrashReporter,
+    /// State of this node if it may be cut off from all back ends.
+    pub(super) partition: BackendPartition,
     /// Revision of the applied list of refused requests.
     pub(super) quarantine_revision: Option<QuarantineRevision>,
     pub(super) applied_view_changes: u64,
@@ -187,6 +190,7 @@
             evidence_reported_at: 0,
             call_failure_counters: BTreeMap::new(),
             crash_reporter: CrashReporter::new(setup.state.clone(), setup.metrics.clone()),
+            partition: BackendPartition::default(),
             quarantine_revision: None,
             applied_view_changes: 0,
             usable_nodes: BTreeSet::new(),
@@ -205,6 +209,8 @@
 
     /// Sets the forwarder that triggers an immediate heartbeat.
     pub fn set_heartbeat_trigger(&mut self, _: CX![], heartbeat_trigger: Fwd<()>) {
+        self.partition
+            .set_heartbeat_trigger(heartbeat_trigger.clone());
         self.crash_reporter.set_heartbeat_trigger(heartbeat_trigger);
     }
 
@@ -237,6 +243,8 @@
             .batcher
             .reject_orders_delayed_by_backoff(instances, now);
         self.handle_finished_orders(delayed_by_back_off, now);
+        self.probe_backends_if_due(now);
+        self.reject_orders_of_lost_shards(now);
         self.update_list_reader(now);
         self.report_inputs_read(now);
         self.send_wait_estimates(now);
@@ -284,6 +292,8 @@
             }
             GatewayEvent::BatchEnded { call, outcome } => {
                 self.count_call_end(call, &outcome);
+                let is_lost = matches!(outcome, CallOutcome::Unreachable | CallOutcome::Unknown);
+                self.record_call_reachability(call, is_lost, now);
                 if outcome == CallOutcome::Unknown {
                     if let Some(connection_loss) = self.batcher.break_off(call) {
                         self.handle_connection_loss(connection_loss, now);
--- a/crates/daemon/src/gateway/batching.rs
+++ b/crates/daemon/src/gateway/batching.rs
@@ -288,9 +288,9 @@
         self.free_results(now);
     }
 
-    /// Sends an order whose shard has no back end to another shard. Returns `false` if there is
-    /// none.
-    fn move_order_to_other_shard(&mut self, owner: &NodeName, work: WorkId, now: Millis) -> bool {
+    /// Sends an order whose owner has no back end for it to another shard, or to the node that owns
+    /// the shard now. Returns `false` if there is neither.
+    fn move_order(&mut self, owner: &NodeName, work: WorkId, now: Millis) -> bool {
         if !self.submitted_orders.is_assigned_to(work, owner) || !self.dispatcher.has_order(work) {
             return false;
         }
@@ -298,7 +298,9 @@
             return false;
         };
         let placement = self.place_order(work, &phase, now);
-        let Some(placement) = placement.filter(|(shard, _)| *shard != phase.shard) else {
+        let is_other =
+            |(shard, new_owner): &(Shard, NodeName)| *shard != phase.shard || new_owner != owner;
+        let Some(placement) = placement.filter(is_other) else {
             return false;
         };
         let Some((owner, phase)) = self.submitted_orders.move_to(work, placement, now) else {
@@ -315,9 +317,7 @@
         result: Result<Vec<ResultHandle>, PieceFailure>,
         now: Millis,
     ) {
-        if result == Err(PieceFailure::NoBackend)
-            && self.move_order_to_other_shard(owner, work, now)
-        {
+        if result == Err(PieceFailure::NoBackend) && self.move_order(owner, work, now) {
             return;
         }
         let answer = self
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -27,6 +27,9 @@
 const BATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Maximum duration of other calls.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for which a probed back end must leave the connection open. A machine between may accept
+/// connections for a back end that it does not reach.
+const PROBE_OPEN_FOR: Duration = Duration::from_millis(100);
 /// Maximum size of an answer to such a call, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Makes calls to back ends and reports their outcomes as events.
@@ -163,7 +166,10 @@
         self.runtime.spawn(async move {
             let connecting = calls.pool.connect(&probe.address, CONNECT_TIMEOUT);
             let result = match connecting.await {
-                Ok(_) => ProbeResult::Accepted,
+                Ok(connection) => match connection.stays_open(PROBE_OPEN_FOR).await {
+                    true => ProbeResult::Accepted,
+                    false => ProbeResult::Closed,
+                },
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
                     ProbeResult::Refused
                 }
--- a/crates/daemon/src/gateway/crashes.rs
+++ b/crates/daemon/src/gateway/crashes.rs
@@ -21,6 +21,7 @@
         if let Some(diagnosis) = self.crash_reporter.probe_finished(instance, result) {
             self.handle_diagnosis(&diagnosis, now);
         }
+        self.record_probe(instance, result, now);
     }
 
     fn handle_diagnosis(&mut self, diagnosis: &Diagnosis, now: Millis) {
@@ -33,6 +34,14 @@
             requests: sends.clone().map(|send| send.request.clone()).collect(),
             fingerprints: sends.map(|send| send.fingerprint.to_string()).collect(),
         });
+        self.crash_reporter.count_lost_connections(diagnosis);
+        if diagnosis.answer == ProbeResult::Refused {
+            self.confirm_crash(diagnosis.clone(), now);
+        }
+    }
+
+    /// Reports that a back end crashed.
+    pub(super) fn report_crash(&mut self, diagnosis: &Diagnosis, now: Millis) {
         let quarantine = &mut self.dispatcher.quarantine;
         if self.crash_reporter.report_crash(diagnosis, quarantine, now) {
             self.reject_quarantined(now);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod notices;
 pub mod owners;
 mod placement;
+mod reachability;
 pub mod request_sender;
 mod result_freeing;
 mod rollouts;
--- a/crates/daemon/src/gateway/state_updates.rs
+++ b/crates/daemon/src/gateway/state_updates.rs
@@ -261,6 +261,9 @@
             if former_owners.get(shard) == Some(owner) {
                 continue;
             }
+            let former_owner = former_owners.get(shard);
+            self.partition
+                .owner_changed(shard, former_owner, &self.node, now);
             if *owner == self.node {
                 let table = &self.dispatcher.instances;
                 self.batcher.take_over_shard(shard, table, now);
--- a/crates/daemon/src/gateway/submitted_orders.rs
+++ b/crates/daemon/src/gateway/submitted_orders.rs
@@ -8,13 +8,13 @@
 /// Time after which an unanswered order is resubmitted, in milliseconds. Its answer may be lost.
 const RESUBMIT_AFTER: Millis = 1_500;
 
-/// Maximum number of moves to another shard. Bounds them while nodes disagree on which zones are
+/// Maximum number of moves to another shard or owner. Bounds them while nodes disagree on which zones are
 /// evacuated.
 const MAX_MOVES: u32 = 2;
 
 struct SubmittedOrder {
     owner: NodeName,
-    /// Number of moves to another shard.
+    /// Number of moves to another shard or owner.
     moves: u32,
     phase: PhaseWork,
     submitted_at: Millis,
@@ -118,14 +118,14 @@
         Some(phase)
     }
 
-    /// Phase of an order that may still move to another shard of its service.
+    /// Phase of an order that may still move to another shard or owner of its service.
     pub fn movable_phase(&self, work: WorkId, now: Millis) -> Option<PhaseWork> {
         let order = self.orders.get(&work)?;
-        let may_move = !order.phase.shard.is_whole_service() && order.moves < MAX_MOVES;
+        let may_move = order.moves < MAX_MOVES;
         may_move.then(|| self.current_phase(work, now))?
     }
 
-    /// Moves an order to another shard and resubmits it.
+    /// Moves an order to another shard or owner and resubmits it.
     pub fn move_to(
         &mut self,
         work: WorkId,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -31,6 +31,8 @@
     pub open_requests: IntGauge,
     /// Open pass-through requests.
     pub gateway_requests: IntGauge,
+    /// 1 while this node reaches no back end.
+    pub cut_off_from_backends: IntGauge,
     /// Sends of pass-through requests, by outcome.
     pub gateway_sends: IntCounterVec,
     /// Requests and calls sent, by service and version of the back end.
@@ -291,6 +293,10 @@
                 "silversail_gateway_open_requests",
                 "Pass-through requests under way",
             ),
+            cut_off_from_backends: gauge(
+                "silversail_cut_off_from_backends",
+                "1 while this process reaches no back end",
+            ),
             queued_stages: gauge("silversail_queued_stages", "Stages waiting for a back end"),
             revision: gauge("silversail_configuration_revision", "Revision in force"),
             peer_sent: counter(
--- a/crates/daemon/src/requests/crashes.rs
+++ b/crates/daemon/src/requests/crashes.rs
@@ -53,6 +53,10 @@
     fn apply_diagnosis(&mut self, diagnosis: &Diagnosis, now: Millis) {
         let cause = diagnosis.answer.cause();
         log::info!(event = "broke_off", backend = diagnosis.instance.as_str(), cause = cause, calls = diagnosis.sends.len(); "connections to a back end were lost");
+        self.crashes.count_lost_connections(diagnosis);
+        if self.setup.state.borrow().cut_off_from_backends {
+            return;
+        }
         self.crashes
             .report_crash(diagnosis, &mut self.quarantine, now);
     }
--- a/crates/daemon/src/session/node_state.rs
+++ b/crates/daemon/src/session/node_state.rs
@@ -84,6 +84,8 @@
     pub freshness: Freshness,
     /// Machine states, from this node's machine list and from the view.
     machines: BTreeMap<String, MachineState>,
+    /// Whether this process reaches no back end, so that it is out of service.
+    pub cut_off_from_backends: bool,
     /// Whether the process is stopping and reports so.
     pub stopping: bool,
     /// Whether new requests are rejected because the process is stopping.
--- a/crates/daemon/src/session/session_actor.rs
+++ b/crates/daemon/src/session/session_actor.rs
@@ -200,7 +200,7 @@
                     zone: self.setup.zone.clone(),
                     caller_address: self.setup.caller_address.clone(),
                     processor_percent: self.setup.processor_percent,
-                    stopping: state.stopping,
+                    withdrawn: state.stopping || state.cut_off_from_backends,
                     serving: state.has_current_configuration(now, self.setup.freshness_lease),
                     revision: state.configuration.revision(),
                     traffic: state.traffic_version(),
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -276,6 +276,13 @@
         /// Fingerprints of the requests, as in their `admitted` events.
         fingerprints: Vec<String>,
     },
+    /// This node lost its links to all back ends, or reaches back ends again.
+    BackendsReachable {
+        /// Whether no back end is reachable.
+        is_cut_off: bool,
+        /// Back ends at which connections failed before; empty for a return.
+        failed: Vec<String>,
+    },
     /// A crash of a back end was committed to the replicated state; logged by the leader.
     CrashRecorded {
         /// Back end that crashed.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -65,6 +65,12 @@
         self.is_reused
     }
 
+    /// Returns whether the peer leaves the new connection open for `period`.
+    pub async fn stays_open(&self, period: Duration) -> bool {
+        tokio::time::sleep(period).await;
+        !self.sender.is_closed()
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -247,6 +247,17 @@
         self.result_memory.release_orders(matches);
     }
 
+    /// Back end of a call in flight.
+    pub fn backend_of_call(&self, call: CallId) -> Option<&str> {
+        let state = self.calls.get(&call);
+        state.map(|state| state.instance.as_str())
+    }
+
+    /// Forgets all failures of back ends.
+    pub fn forget_failures(&mut self) {
+        self.backends.forget_failures();
+    }
+
     /// Releases results that are no longer needed.
     pub fn release(&mut self, handles: &[ResultHandle]) {
         self.result_memory.release(handles);
--- a/crates/serving/src/batcher/backend_health.rs
+++ b/crates/serving/src/batcher/backend_health.rs
@@ -173,6 +173,11 @@
         }
     }
 
+    /// Forgets all failures, which were recorded while this node was cut off from all back ends.
+    pub(super) fn forget_failures(&mut self) {
+        self.backends.clear();
+    }
+
     /// Milliseconds until the first back end of a shard may get calls again; 0 if one may now.
     pub(super) fn rejecting_ms(&self, shard: &Shard, table: &InstanceTable, now: Millis) -> u32 {
         let accepting = table
--- a/crates/serving/src/batcher/outcomes.rs
+++ b/crates/serving/src/batcher/outcomes.rs
@@ -16,6 +16,17 @@
 const MAX_CALLS_OF_PIECE: u32 = 3;
 
 impl Batcher {
+    /// Rejects the orders whose shard `is_rejected`, including those with calls in flight.
+    pub fn reject_orders_of(&mut self, is_rejected: impl Fn(&Shard) -> bool) -> Vec<FinishedOrder> {
+        let orders = self.orders.iter();
+        let rejected = orders.filter(|(_, order)| is_rejected(&order.work.shard));
+        let rejected: Vec<OrderKey> = rejected.map(|(key, _)| key.clone()).collect();
+        rejected
+            .iter()
+            .filter_map(|key| self.fail(key, PieceFailure::NoBackend))
+            .collect()
+    }
+
     /// Processes the outcome of a call and returns the orders that ended with it.
     pub fn call_ended(
         &mut self,
--- a/crates/serving/src/crashes.rs
+++ b/crates/serving/src/crashes.rs
@@ -44,6 +44,8 @@
     Refused,
     /// The connection was accepted.
     Accepted,
+    /// The connection was accepted and closed at once.
+    Closed,
     /// The probe timed out.
     Silent,
 }
@@ -53,7 +55,7 @@
     pub fn cause(self) -> &'static str {
         match self {
             ProbeResult::Refused => "crash",
-            ProbeResult::Accepted => "connection",
+            ProbeResult::Accepted | ProbeResult::Closed => "connection",
             ProbeResult::Silent => "unknown",
         }
     }
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::popularity::PromptPopularity;
 use crate::ports::{CallAttributes, ReportedLoad};
 use crate::quarantine::RequestQuarantine;
+use crate::reachability::ReachabilityMonitor;
 use crate::retry_budget::{RetryBudget, RetryLimits};
 use crate::rollouts::RolloutTracker;
 use crate::routes::{ResolvedRoute, RouteError, RouteTable};
@@ -58,6 +59,8 @@
     pub rollouts: RolloutTracker,
     /// Requests that are rejected because they crash back ends.
     pub quarantine: RequestQuarantine,
+    /// Whether this node reaches any back end.
+    pub reachability: ReachabilityMonitor,
     budget: RetryBudget,
     nodes: usize,
     requests: BTreeMap<RequestNumber, ActiveRequest>,
@@ -86,6 +89,7 @@
             instances,
             rollouts: RolloutTracker::default(),
             quarantine: RequestQuarantine::default(),
+            reachability: ReachabilityMonitor::default(),
             budget: RetryBudget::new(limits),
             nodes: 1,
             requests: BTreeMap::new(),
@@ -374,6 +378,7 @@
                 self.instances.record_load(&active_send.instance, load, now);
             }
             self.instances.record_answer(&active_send.instance);
+            self.reachability.record_answer(&active_send.instance);
             if is_first && request.sends == 1 {
                 let after = now.saturating_sub(active_send.began_at);
                 let route = &request.resolved_route.route.name;
--- a/crates/serving/src/dispatcher/outcomes.rs
+++ b/crates/serving/src/dispatcher/outcomes.rs
@@ -33,6 +33,7 @@
         self.update_engine_health(&active_send.instance, outcome, now);
         if is_whole_at_once {
             self.instances.record_answer(&active_send.instance);
+            self.reachability.record_answer(&active_send.instance);
         }
         self.count_for_rollout(number, &active_send, outcome, now);
         let mut actions = match outcome {
@@ -61,6 +62,7 @@
                 instances.record_failure(instance, now, "answer_broken")
             }
             SendOutcome::NotRun(NotRunReason::Unreachable) => {
+                self.reachability.record_failure(instance, now);
                 instances.record_failure(instance, now, "unreachable");
             }
             SendOutcome::NotRun(NotRunReason::Full) => instances.record_full(instance, now),
@@ -72,6 +74,7 @@
             ) => {}
             SendOutcome::Unknown(UnknownReason::Deadline) => {}
             SendOutcome::Unknown(UnknownReason::Broken) => {
+                self.reachability.record_failure(instance, now);
                 instances.record_failure(instance, now, "broken");
             }
             SendOutcome::Unknown(UnknownReason::Garbled) => {
--- a/crates/serving/src/instances.rs
+++ b/crates/serving/src/instances.rs
@@ -229,6 +229,15 @@
         self.record(&listed, "suspect", why);
     }
 
+    /// Ends all ejections because of failures, which were recorded while this node was cut off
+    /// from all back ends.
+    pub fn forget_failures(&mut self) {
+        for instance in self.instances.iter_mut() {
+            instance.failures = 0;
+            instance.suspect_until = 0;
+        }
+    }
+
     /// Records that a back end reported itself full.
     pub fn record_full(&mut self, id: &str, now: Millis) {
         let Some(instance) = self.instances.get_mut(id) else {
--- a/crates/serving/src/instances/lookup.rs
+++ b/crates/serving/src/instances/lookup.rs
@@ -8,6 +8,12 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 impl InstanceTable {
+    /// All back ends that may get new work in principle.
+    pub fn accepting_new_work(&self) -> impl Iterator<Item = &Instance> {
+        let all = self.instances.iter();
+        all.filter(|instance| instance.accepts_new_work())
+    }
+
     /// All back ends of a service.
     pub fn of_service<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Instance> {
         let index = self.instances.service(service).into_iter();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod popularity;
 pub mod ports;
 pub mod quarantine;
+pub mod reachability;
 pub mod regions;
 pub mod retry_budget;
 pub mod rollouts;
