Requests of a node that reaches no back end are forwarded to a peer

Cause, the second half: what a cut node takes in had one way out, its own connections. Callers with an earlier answer of the entry points go on arriving for seconds after it has left them.

The node forwards such a request over HTTP to a usable peer's address for callers, with the caller's key and the time left, and passes the answer on as it arrives; at once when it is cut off, else after two back ends could not be reached. The peer treats it as a caller's request, so that attempts, limits, permits and draining are asked where the bytes leave. It does not forward again; a request that a peer may have run is not sent again, and 'not run' is passed on only where no earlier send may have run.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -339,6 +339,9 @@
             let counter = &self.setup.metrics.stripped_headers;
             counter.with_label_values(&[name]).inc();
         }
+        if call.forwarded.is_some() {
+            self.count_forward("received");
+        }
         let is_refusing = self.setup.state.borrow().refusing;
         let uptime = now.saturating_sub(self.started_at);
         let may_wait = !self.dispatcher.has_routes() && self.startup_queue.may_wait(uptime);
@@ -414,6 +417,10 @@
                     self.count_send_start(number, &plan);
                     self.send_decision(number, Decision::Send(plan.into()));
                 }
+                Action::Forward { number, plan } => {
+                    self.count_forward("sent");
+                    self.send_decision(number, Decision::Forward(plan.into()));
+                }
                 Action::Submit {
                     work,
                     request,
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -2,6 +2,7 @@
 
 use crate::event::{Event, EventSender};
 use crate::gateway::event::{Decision, GatewayEvent};
+use crate::gateway::forwarding::earlier_attempts;
 use crate::gateway::request_sender::{RequestSender, StreamCallbacks};
 use bytes::Bytes;
 use http_body_util::{Either, Full};
@@ -116,6 +117,7 @@
         let target = parts.uri.path_and_query();
         let target = target.map_or("", |target| target.as_str());
         call.content = ContentDigest::of(target, &request.body);
+        call.forwarded = earlier_attempts(&parts.headers);
         let id = call.id.clone();
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let (sender, mut decisions) = mpsc::unbounded_channel();
@@ -133,8 +135,16 @@
             },
         );
         loop {
-            let plan = match decisions.recv().await {
-                Some(Decision::Send(plan)) => plan,
+            let callbacks = self.stream_callbacks(number);
+            let result = match decisions.recv().await {
+                Some(Decision::Send(plan)) => {
+                    let sender = &self.request_sender;
+                    sender.send(&request, &id, &plan, callbacks).await
+                }
+                Some(Decision::Forward(plan)) => {
+                    let sender = &self.request_sender;
+                    sender.forward(&request, &id, &plan, callbacks).await
+                }
                 Some(Decision::Answer(refusal)) => {
                     guard.is_armed = false;
                     return Ok(self.refusal_response(&id, refusal));
@@ -142,11 +152,6 @@
                 // The process is ending; the connection is closed without an answer.
                 None => return Err(io::ErrorKind::ConnectionAborted.into()),
             };
-            let callbacks = self.stream_callbacks(number);
-            let result = self
-                .request_sender
-                .send(&request, &id, &plan, callbacks)
-                .await;
             if let Some(answer) = result.answer {
                 guard.is_armed = false;
                 if matches!(answer.body(), Either::Left(_)) {
--- a/crates/daemon/src/gateway/event.rs
+++ b/crates/daemon/src/gateway/event.rs
@@ -9,6 +9,7 @@
 use silversail_serving::batcher::{CallId, CallOutcome};
 use silversail_serving::crashes::ProbeResult;
 use silversail_serving::dispatcher::{Refusal, RequestNumber, SendOutcome, SendPlan};
+use silversail_serving::forwarding::ForwardPlan;
 use silversail_serving::ports::{
     BackendListEntry, CallAttributes, ReportedLoad, Rollout, RolloutOrder,
 };
@@ -22,6 +23,8 @@
     Answer(Refusal),
     /// Send the request to a back end and report the outcome.
     Send(Box<SendPlan>),
+    /// Forward the request to a peer node and report the outcome.
+    Forward(Box<ForwardPlan>),
 }
 
 /// A complete read of the backend list.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod crashes;
 pub mod entry_points;
 pub mod event;
+pub mod forwarding;
 mod limits;
 mod list_fetch;
 pub mod list_reader;
--- a/crates/daemon/src/gateway/request_sender.rs
+++ b/crates/daemon/src/gateway/request_sender.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::{self, Clock};
 use crate::gateway::calls::CONNECT_TIMEOUT;
+use crate::gateway::forwarding::FORWARDED;
 use crate::gateway::notices::NoticeRecorder;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Either, Full, Limited};
@@ -18,6 +19,8 @@
 use silversail_serving::dispatcher::{NotRunReason, SendOutcome, SendPlan, UnknownReason};
 use silversail_serving::notices::{AnswerContext, ExchangeKind, UnavailableReason};
 use silversail_serving::ports::{AnswerHead, Protocols, ReportedLoad};
+use silversail_serving::Millis;
+use std::future::Future;
 use std::time::{Duration, Instant};
 use tokio::time::{timeout, timeout_at};
 
@@ -30,7 +33,7 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 /// Statuses by which a back end guarantees that it did not run the request.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+pub(super) const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// Outcome of a send.
 pub struct SendResult {
@@ -43,7 +46,7 @@
 }
 
 /// End of a send without an answer for the caller.
-struct FailedSend {
+pub(super) struct FailedSend {
     outcome: SendOutcome,
     load: Option<ReportedLoad>,
 }
@@ -95,24 +98,8 @@
         callbacks: StreamCallbacks,
     ) -> SendResult {
         let deadline = clock::to_monotonic(self.clock.instant(plan.end));
-        let result = timeout_at(
-            deadline.into(),
-            self.try_send(request, id, plan, callbacks, deadline),
-        )
-        .await;
-        match result {
-            Ok(Ok(result)) => result,
-            Ok(Err(failed_send)) => SendResult {
-                outcome: failed_send.outcome,
-                load: failed_send.load,
-                answer: None,
-            },
-            Err(_) => SendResult {
-                outcome: SendOutcome::Unknown(UnknownReason::Deadline),
-                load: None,
-                answer: None,
-            },
-        }
+        let sending = self.try_send(request, id, plan, callbacks, deadline);
+        until_deadline(sending, deadline).await
     }
 
     async fn try_send(
@@ -155,9 +142,7 @@
                 load: head.report.load,
             });
         }
-        let is_long = content_length(response.headers())
-            .is_some_and(|length| length > MAX_BUFFERED_ANSWER_BYTES);
-        if plan.is_stream || is_long {
+        if plan.is_stream || is_long(response.headers()) {
             return Ok(stream_answer(
                 response, connection, head, callbacks, deadline,
             ));
@@ -208,32 +193,41 @@
         }
     }
 
-    /// Time left until the deadline of a plan.
-    fn time_left(&self, plan: &SendPlan) -> Duration {
-        let deadline = self.clock.instant(plan.end);
+    /// Time left until a deadline.
+    pub(super) fn time_left(&self, end: Millis) -> Duration {
+        let deadline = self.clock.instant(end);
         deadline.saturating_duration_since(clock::now())
     }
 
     fn build_request(&self, request: &IncomingRequest, plan: &SendPlan) -> Request<Full<Bytes>> {
         let mut attributes = plan.attributes.clone();
-        attributes.remaining_ms = self.time_left(plan).as_millis() as u64;
+        attributes.remaining_ms = self.time_left(plan.end).as_millis() as u64;
         let mut headers = self
             .protocols
             .requests
             .engine_headers(&request.parts.headers, &attributes);
-        strip_connection_headers(&mut headers);
-        headers.remove(EXPECT);
-        let target = request.parts.uri.path_and_query();
-        let mut outgoing = Request::builder()
-            .method(request.parts.method.clone())
-            .uri(target.map_or("/", |target| target.as_str()))
-            .body(Full::new(request.body.clone()))
-            .expect("method and target came in a request that was read");
-        *outgoing.headers_mut() = headers;
-        outgoing
+        headers.remove(FORWARDED);
+        with_headers(request, headers)
     }
 }
 
+/// Builds the request of a caller with other headers.
+pub(super) fn with_headers(
+    request: &IncomingRequest,
+    mut headers: HeaderMap,
+) -> Request<Full<Bytes>> {
+    strip_connection_headers(&mut headers);
+    headers.remove(EXPECT);
+    let target = request.parts.uri.path_and_query();
+    let mut outgoing = Request::builder()
+        .method(request.parts.method.clone())
+        .uri(target.map_or("/", |target| target.as_str()))
+        .body(Full::new(request.body.clone()))
+        .expect("method and target came in a request that was read");
+    *outgoing.headers_mut() = headers;
+    outgoing
+}
+
 fn not_run_reason(status: u16) -> NotRunReason {
     match status {
         421 => NotRunReason::Misplaced,
@@ -243,6 +237,26 @@
     }
 }
 
+/// Waits for the result of a send until `deadline`.
+pub(super) async fn until_deadline(
+    sending: impl Future<Output = Result<SendResult, FailedSend>>,
+    deadline: Instant,
+) -> SendResult {
+    match timeout_at(deadline.into(), sending).await {
+        Ok(Ok(result)) => result,
+        Ok(Err(failed_send)) => SendResult {
+            outcome: failed_send.outcome,
+            load: failed_send.load,
+            answer: None,
+        },
+        Err(_) => SendResult {
+            outcome: SendOutcome::Unknown(UnknownReason::Deadline),
+            load: None,
+            answer: None,
+        },
+    }
+}
+
 /// Whether an answer may be forwarded. A status that guarantees the request did not run may come
 /// only from the gateway: a forwarded one would be wrong.
 fn may_be_forwarded(status: u16, head: &AnswerHead) -> bool {
@@ -250,13 +264,18 @@
     head.matches_request && (head.is_signed || !is_success) && !NOT_RUN_STATUSES.contains(&status)
 }
 
-async fn reuse_after_refusal(connection: Connection, body: Incoming) {
+pub(super) async fn reuse_after_refusal(connection: Connection, body: Incoming) {
     let body = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect();
     if let Ok(Ok(_)) = timeout(REFUSAL_BODY_TIMEOUT, body).await {
         connection.return_to_pool();
     }
 }
 
+/// Whether an answer is too long to be buffered.
+pub(super) fn is_long(headers: &HeaderMap) -> bool {
+    content_length(headers).is_some_and(|length| length > MAX_BUFFERED_ANSWER_BYTES)
+}
+
 fn content_length(headers: &HeaderMap) -> Option<usize> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
@@ -287,7 +306,8 @@
     }
 }
 
-fn stream_answer(
+/// Passes an answer on as it arrives.
+pub(super) fn stream_answer(
     response: Response<Incoming>,
     connection: Connection,
     head: AnswerHead,
@@ -310,7 +330,8 @@
     }
 }
 
-async fn buffer_answer(
+/// Passes an answer on once it is complete.
+pub(super) async fn buffer_answer(
     response: Response<Incoming>,
     connection: Connection,
     head: AnswerHead,
--- a/crates/daemon/src/gateway/send_metrics.rs
+++ b/crates/daemon/src/gateway/send_metrics.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Counts a request that is forwarded to or was received from a peer node.
+    pub(super) fn count_forward(&self, direction: &str) {
+        let counter = &self.setup.metrics.forwarded_requests;
+        counter.with_label_values(&[direction]).inc();
+    }
+
     /// Counts a batch call by the version of its back end.
     pub(super) fn count_call_start(&mut self, call: &BatchCall) {
         let pieces = call.pieces.len() as f64;
--- a/crates/daemon/src/gateway/state_updates.rs
+++ b/crates/daemon/src/gateway/state_updates.rs
@@ -9,6 +9,7 @@
 use silversail_decisions::Event as LogEvent;
 use silversail_model::{NodeName, Shard};
 use silversail_peer::{BackendList, WorkId};
+use silversail_serving::forwarding::PeerNode;
 use silversail_serving::routes::RouteTable;
 use stakker::{call, CX};
 use std::collections::{BTreeMap, BTreeSet};
@@ -199,7 +200,7 @@
     }
 
     pub(super) fn apply_view(&mut self, now: Millis) {
-        let (version, names) = {
+        let (version, names, peers) = {
             let state = self.setup.state.borrow();
             if state.view_changes == self.applied_view_changes {
                 return;
@@ -207,8 +208,16 @@
             self.applied_view_changes = state.view_changes;
             let nodes = state.view.usable_nodes();
             let names: BTreeSet<String> = nodes.map(|status| status.node.0.clone()).collect();
-            (state.view.version, names)
+            let others = state.view.usable_nodes();
+            let others = others.filter(|status| status.node != self.node);
+            let peers = others.map(|status| PeerNode {
+                node: status.node.clone(),
+                address: status.caller_address.clone(),
+                zone: status.zone.clone(),
+            });
+            (state.view.version, names, peers.collect())
         };
+        self.dispatcher.set_peers(peers);
         self.dispatcher
             .set_nodes(self.node.as_str(), names.iter().cloned().collect());
         self.setup.log.record(LogEvent::View {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -31,6 +31,8 @@
     pub open_requests: IntGauge,
     /// Open pass-through requests.
     pub gateway_requests: IntGauge,
+    /// Requests forwarded to peer nodes and received from them, by direction.
+    pub forwarded_requests: IntCounterVec,
     /// 1 while this node reaches no back end.
     pub cut_off_from_backends: IntGauge,
     /// Sends of pass-through requests, by outcome.
@@ -293,6 +295,11 @@
                 "silversail_gateway_open_requests",
                 "Pass-through requests under way",
             ),
+            forwarded_requests: counter(
+                "silversail_forwarded_requests_total",
+                "Requests forwarded between nodes",
+                &["direction"],
+            ),
             cut_off_from_backends: gauge(
                 "silversail_cut_off_from_backends",
                 "1 while this process reaches no back end",
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -42,6 +42,9 @@
         /// request.
         #[serde(default)]
         fingerprint: String,
+        /// Whether another node forwarded the request.
+        #[serde(default)]
+        is_forwarded: bool,
     },
     /// A request was rejected or abandoned.
     Refused {
@@ -276,6 +279,32 @@
         /// Fingerprints of the requests, as in their `admitted` events.
         fingerprints: Vec<String>,
     },
+    /// A request was forwarded to a peer node, as this node does not reach the back ends.
+    Forwarded {
+        /// Request identifier sent by the caller.
+        request: String,
+        /// Peer node.
+        to: String,
+        /// Whether this node reaches no back end at all.
+        is_cut_off: bool,
+        /// Back ends that the request failed to reach before.
+        unreached: u32,
+        /// Milliseconds until the deadline.
+        remaining_ms: u64,
+    },
+    /// A forwarded request got no answer that could be passed on.
+    ForwardFailed {
+        /// Request identifier sent by the caller.
+        request: String,
+        /// Peer node.
+        to: String,
+        /// Whether the request ran: `not_run` or `unknown`.
+        outcome: String,
+        /// Cause of the failure.
+        reason: String,
+        /// Time since it was forwarded, in milliseconds.
+        took_ms: u64,
+    },
     /// This node lost its links to all back ends, or reaches back ends again.
     BackendsReachable {
         /// Whether no back end is reachable.
--- a/crates/decisions/src/event_class.rs
+++ b/crates/decisions/src/event_class.rs
@@ -20,6 +20,7 @@
             Event::Admitted { .. }
             | Event::PhaseSubmitted { .. }
             | Event::Sent { .. }
+            | Event::Forwarded { .. }
             | Event::BatchSent { .. }
             | Event::BatchEnded { .. } => EventClass::RequestStep,
             Event::PhaseDone { outcome, .. } if outcome == "made" => EventClass::RequestStep,
@@ -30,6 +31,7 @@
             | Event::WaitsForRest { .. }
             | Event::PhaseDone { .. }
             | Event::SendFailed { .. }
+            | Event::ForwardFailed { .. }
             | Event::Answered { .. }
             | Event::CallerGone { .. } => EventClass::RequestFailure,
             _ => EventClass::StateChange,
@@ -45,6 +47,8 @@
             | Event::PhaseDone { request, .. }
             | Event::Sent { request, .. }
             | Event::SendFailed { request, .. }
+            | Event::Forwarded { request, .. }
+            | Event::ForwardFailed { request, .. }
             | Event::WaitsForRest { request, .. }
             | Event::Answered { request, .. }
             | Event::CallerGone { request, .. } => Some(request),
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -7,6 +7,7 @@
 mod action;
 mod admission;
 mod backoff;
+mod forwarding;
 mod limits;
 mod outcomes;
 mod phases;
@@ -15,6 +16,7 @@
 mod request;
 mod sending;
 
+use crate::forwarding::PeerTable;
 use crate::instances::InstanceTable;
 use crate::notices::BackendNotices;
 use crate::policy::Policy;
@@ -61,6 +63,7 @@
     pub quarantine: RequestQuarantine,
     /// Whether this node reaches any back end.
     pub reachability: ReachabilityMonitor,
+    peers: PeerTable,
     budget: RetryBudget,
     nodes: usize,
     requests: BTreeMap<RequestNumber, ActiveRequest>,
@@ -90,6 +93,7 @@
             rollouts: RolloutTracker::default(),
             quarantine: RequestQuarantine::default(),
             reachability: ReachabilityMonitor::default(),
+            peers: PeerTable::default(),
             budget: RetryBudget::new(limits),
             nodes: 1,
             requests: BTreeMap::new(),
@@ -217,8 +221,6 @@
         let wait = call
             .deadline_ms
             .map_or(timeout, |deadline| deadline.min(timeout));
-        self.budget
-            .record_first_attempt(&resolved_route.service, now);
         let mut request =
             ActiveRequest::new(call, resolved_route, self.policy, since, since + wait);
         self.log.record(Event::Admitted {
@@ -229,7 +231,21 @@
             remaining_ms: request.end.saturating_sub(now),
             phases: request.resolved_route.route.phases.len(),
             fingerprint: request.fingerprint.to_string(),
+            is_forwarded: request.call.forwarded.is_some(),
         });
+        if self.reachability.is_cut_off() {
+            let is_forwarded = request.call.forwarded.is_some();
+            self.requests.insert(number, request);
+            return match is_forwarded {
+                true => self.reject_cut_off(number, now),
+                false => self.forward_or_reject(number, now),
+            };
+        }
+        // The node that forwarded a repetition took it from its own retry budget.
+        if request.sends == 0 {
+            let service = &request.resolved_route.service;
+            self.budget.record_first_attempt(service, now);
+        }
         if request.resolved_route.route.has_prefix {
             let speed = self.policy.prefill_tokens_per_ms;
             request.shared_prompt = self
@@ -422,6 +438,9 @@
         let Some(mut request) = self.requests.remove(&number) else {
             return Vec::new();
         };
+        if let Some(forward) = request.active_forward.take() {
+            self.peers.record_ended(&forward.node);
+        }
         if let Some(active_send) = request.active_send.take() {
             let tokens = request.tokens();
             self.instances.record_ended(&active_send.instance, tokens);
@@ -440,7 +459,7 @@
     pub fn reject_quarantined(&mut self, now: Millis) -> Vec<Action> {
         let requests = self.requests.iter();
         let refused = requests.filter(|(_, request)| {
-            request.active_send.is_none() && self.quarantine.refuses(&request.fingerprint)
+            !request.is_sent() && self.quarantine.refuses(&request.fingerprint)
         });
         let refused: Vec<RequestNumber> = refused.map(|(number, _)| *number).collect();
         let code = ResultCode::RequestQuarantined;
@@ -455,7 +474,7 @@
         let over = self
             .requests
             .iter()
-            .filter(|(_, request)| request.active_send.is_none() && request.end <= now);
+            .filter(|(_, request)| !request.is_sent() && request.end <= now);
         let over: Vec<RequestNumber> = over.map(|(number, _)| *number).collect();
         over.into_iter()
             .flat_map(|number| self.give_up(number, ResultCode::TimeOverBeforeSend, now))
--- a/crates/serving/src/dispatcher/action.rs
+++ b/crates/serving/src/dispatcher/action.rs
@@ -3,6 +3,7 @@
 use super::RequestNumber;
 use crate::batcher::AnnouncedOrder;
 use crate::crashes::ConnectionLoss;
+use crate::forwarding::ForwardPlan;
 use crate::ports::SendAttributes;
 use crate::Millis;
 use silversail_model::topology::RegionFilter;
@@ -59,6 +60,13 @@
         /// How to send it.
         plan: SendPlan,
     },
+    /// Forward the request to a peer node.
+    Forward {
+        /// The request.
+        number: RequestNumber,
+        /// How to forward it.
+        plan: ForwardPlan,
+    },
     /// Submit the pieces of a phase as an order.
     Submit {
         /// Number of the order.
--- a/crates/serving/src/dispatcher/outcomes.rs
+++ b/crates/serving/src/dispatcher/outcomes.rs
@@ -19,6 +19,9 @@
         let Some(request) = self.requests.get_mut(&number) else {
             return Vec::new();
         };
+        if let Some(forward) = request.active_forward.take() {
+            return self.forward_ended(number, &forward, outcome, now);
+        }
         let Some(active_send) = request.active_send.take() else {
             return Vec::new();
         };
@@ -238,6 +241,12 @@
         code: ResultCode,
         now: Millis,
     ) -> Vec<Action> {
+        let request = self.requests.get(&number);
+        if request.is_some_and(|request| self.prefers_peer(request)) {
+            if let Some(actions) = self.forward(number, now) {
+                return actions;
+            }
+        }
         let may_go_on = self.requests.get(&number).is_some_and(|request| {
             request.sends < request.max_sends() && self.has_untried(request)
         });
--- a/crates/serving/src/dispatcher/request.rs
+++ b/crates/serving/src/dispatcher/request.rs
@@ -1,5 +1,6 @@
 //! State of one open request.
 
+use super::forwarding::ActiveForward;
 use super::phases::PhaseSet;
 use super::Action;
 use crate::batcher::AnnouncedOrder;
@@ -12,7 +13,7 @@
 use crate::routes::{ResolvedRoute, RouteTable};
 use crate::selection::{affinity_key, SelectionRequest};
 use crate::Millis;
-use silversail_model::{Outcome, RequestFingerprint, ResultCode, Shard, Topology};
+use silversail_model::{NodeName, Outcome, RequestFingerprint, ResultCode, Shard, Topology};
 use silversail_peer::{PhaseWork, Piece, ResultHandle};
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
@@ -58,6 +59,10 @@
     pub(super) sends: u32,
     pub(super) tried: Vec<String>,
     pub(super) active_send: Option<ActiveSend>,
+    /// The peer that serves the request for this node.
+    pub(super) active_forward: Option<ActiveForward>,
+    /// Peers to which the request was forwarded.
+    pub(super) forwarded_to: Vec<NodeName>,
     pub(super) head_at: Option<Millis>,
     pub(super) restarts: u32,
     /// Whether a send to a candidate got no answer; later sends go to the baseline.
@@ -87,6 +92,7 @@
             &call.pieces,
             policy.late_start,
         );
+        let sends = call.forwarded.unwrap_or_default();
         Self {
             fingerprint: RequestFingerprint::of(resolved_route.tenant.as_deref(), &call.content),
             call,
@@ -95,9 +101,11 @@
             arrived_at: now,
             end,
             phases,
-            sends: 0,
+            sends,
             tried: Vec::new(),
             active_send: None,
+            active_forward: None,
+            forwarded_to: Vec::new(),
             head_at: None,
             restarts: 0,
             failed_at_candidate: false,
@@ -127,6 +135,11 @@
         }
     }
 
+    /// Whether the request is at an engine or a peer.
+    pub(super) fn is_sent(&self) -> bool {
+        self.active_send.is_some() || self.active_forward.is_some()
+    }
+
     pub(super) fn has_attempts_left(&self) -> bool {
         self.sends < self.resolved_route.route.max_attempts
     }
--- a/crates/serving/src/dispatcher/sending.rs
+++ b/crates/serving/src/dispatcher/sending.rs
@@ -23,8 +23,24 @@
         if self.quarantine.refuses(&request.fingerprint) {
             return self.give_up(number, ResultCode::RequestQuarantined, now);
         }
+        if self.is_stranded(request) {
+            return self.reject_cut_off(number, now);
+        }
+        if self.prefers_peer(request) {
+            let is_cut_off = self.reachability.is_cut_off();
+            match self.forward(number, now) {
+                Some(actions) => return actions,
+                None if is_cut_off => return self.reject_cut_off(number, now),
+                None => {}
+            }
+        }
+        let Some(request) = self.requests.get(&number) else {
+            return Vec::new();
+        };
         let Some(instance) = self.engine_for(request, now) else {
-            return self.wait_or_reject(number, now);
+            let may_forward = request.unreached > 0 && request.call.forwarded.is_none();
+            let forwarded = may_forward.then(|| self.forward(number, now)).flatten();
+            return forwarded.unwrap_or_else(|| self.wait_or_reject(number, now));
         };
         self.request_limited_permit(request, instance, now);
         let plan = plan_of(request, instance, &self.topology, now);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod cold;
 pub mod crashes;
 pub mod dispatcher;
+pub mod forwarding;
 pub mod instances;
 pub mod notices;
 pub mod policy;
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -44,6 +44,8 @@
     pub stripped_headers: Vec<String>,
     /// Digest of the request target and body.
     pub content: ContentDigest,
+    /// If another node forwarded the request: number of its sends that may have run.
+    pub forwarded: Option<u32>,
 }
 
 /// Reason why a caller's request cannot be parsed.
@@ -145,6 +147,10 @@
     /// Builds the headers of the request to an engine from those of the caller.
     fn engine_headers(&self, caller: &HeaderMap, send: &SendAttributes) -> HeaderMap;
 
+    /// Builds the headers of the request to a peer node from those of the caller: all of them, with
+    /// the remaining time in milliseconds.
+    fn forward_headers(&self, caller: &HeaderMap, remaining_ms: u64) -> HeaderMap;
+
     /// Parses the head of an engine's answer to the request `id`.
     fn read_answer(&self, status: u16, headers: &HeaderMap, id: &str) -> AnswerHead;
 
--- a/crates/serving/tests/burst.rs
+++ b/crates/serving/tests/burst.rs
@@ -131,6 +131,7 @@
                 }
                 Action::Cancel { work } => self.batcher.cancel(&key(node, work)),
                 Action::Diagnose { .. } => unreachable!("nothing breaks off"),
+                Action::Forward { .. } => unreachable!("all back ends are reachable"),
                 Action::Release { handles, .. } => self.batcher.release(&handles),
             }
         }
