--- a/crates/control/src/control_state.rs
+++ b/crates/control/src/control_state.rs
@@ -3,6 +3,7 @@
 
 use crate::change::ChangeRequest;
 use crate::configuration_state::ConfigurationState;
+use crate::earlier_builds;
 use crate::evacuation::{EvacuationOrder, SharedEvacuations};
 use crate::orders::{OrderCommand, OrderTable};
 use crate::published::{publish, PublishReply, PublishedTraffic, SharedTraffic};
@@ -106,15 +107,7 @@
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> bool {
-        type Stored = (
-            Vec<u8>,
-            OrderTable,
-            Option<PublishedTraffic>,
-            SharedEvacuations,
-            SharedRollouts,
-            Quarantine,
-        );
-        let Ok(stored) = postcard::from_bytes::<Stored>(snapshot) else {
+        let Some(stored) = earlier_builds::read_snapshot(snapshot) else {
             return false;
         };
         let (configuration, orders, published, evacuations, rollouts, quarantine) = stored;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod configuration_state;
 pub mod control_state;
 pub mod crash_table;
+pub mod earlier_builds;
 pub mod evacuation;
 pub mod evidence_table;
 pub mod membership_table;
--- a/crates/control/src/published.rs
+++ b/crates/control/src/published.rs
@@ -2,6 +2,7 @@
 //! arrive.
 
 use crate::compression;
+use crate::earlier_builds;
 use serde::{de, ser, Deserialize, Deserializer, Serialize, Serializer};
 use silversail_model::{TrafficConfiguration, TrafficVersion};
 use std::sync::Arc;
@@ -50,9 +51,12 @@
         postcard::to_stdvec(&fields).expect("encoding into memory does not fail")
     }
 
-    /// Decodes the result of [`PublishedTraffic::encode`]; `None` if `bytes` is not valid.
+    /// Decodes the result of [`PublishedTraffic::encode`] of this or an earlier build; `None` if
+    /// `bytes` is not valid.
     pub(crate) fn decode(bytes: &[u8]) -> Option<Self> {
-        let decoded: DecodedTraffic = postcard::from_bytes(bytes).ok()?;
+        let Some(decoded) = earlier_builds::decode_whole::<DecodedTraffic>(bytes) else {
+            return earlier_builds::decode_published(bytes);
+        };
         Some(Self {
             document: decoded.document,
             traffic: decoded.traffic,
