Messages of version 6 are read and written, so that two builds form one cluster

While machines were exchanged from build to this one, exchanged nodes were not ready for 12 to 27 s, a change waited 11.7 s for its acknowledgement, and in the end the last node of the old build, which heard no leader any more, answered 404 by an older configuration. Cause: 'peer' drops envelopes of another version whole, and the builds speak 6 and 9, so that a majority of one kind of disk was needed for anything.

peer::version6 translates both ways at the edge; the version of each peer is learned from its messages, unknown peers get both. What version 6 can't express is not sent, and the leader takes no command without a form there while a member speaks it, as its entry would block that member.

--- a/crates/control/src/traffic_update.rs
+++ b/crates/control/src/traffic_update.rs
@@ -1,6 +1,7 @@
 //! Updates of the traffic configuration on nodes.
 
 use crate::compression;
+use crate::earlier_builds;
 use crate::published::{PublishedTraffic, SharedTraffic};
 use serde::{Deserialize, Serialize};
 use silversail_model::TrafficVersion;
@@ -15,14 +16,43 @@
     Difference(Arc<TrafficDifference>),
 }
 
-/// Difference between two versions: the newer one, compressed with the older as dictionary.
+/// An update as builds with message version 6 encode it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum EarlierTrafficUpdate {
+    /// The full configuration, compressed.
+    Full(Vec<u8>),
+    /// The difference from the previous version.
+    Difference {
+        /// Version that the receiver must have.
+        base: TrafficVersion,
+        /// Version after the update.
+        version: TrafficVersion,
+        /// The newer configuration, compressed with the older as dictionary.
+        packed: Vec<u8>,
+    },
+}
+
+/// Difference between two versions: the newer one, compressed with the older as dictionary.
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TrafficDifference {
     /// Version that the receiver must have.
     base: TrafficVersion,
     /// Version after the update.
     version: TrafficVersion,
     packed: Vec<u8>,
+    /// The newer configuration, for receivers that encode the older one in another way. Known to the
+    /// process that computed the difference only.
+    #[serde(skip)]
+    next: Option<SharedTraffic>,
+    /// Whether it was computed by a build with message version 6, from its own encoding.
+    #[serde(skip)]
+    is_of_earlier_build: bool,
+}
+
+impl PartialEq for TrafficDifference {
+    fn eq(&self, other: &Self) -> bool {
+        (self.base, self.version, &self.packed) == (other.base, other.version, &other.packed)
+    }
 }
 
 /// Error from applying an update; the next heartbeat then requests the full configuration.
@@ -47,6 +77,37 @@
         }
     }
 
+    /// Converts the update for a build with message version 6; `None` if it has no form of the
+    /// configuration, or if the configuration is not known here.
+    pub fn to_earlier(&self) -> Option<EarlierTrafficUpdate> {
+        let full = match self {
+            TrafficUpdate::Full(full) => full,
+            TrafficUpdate::Difference(difference) => difference.next.as_ref()?,
+        };
+        earlier_builds::compress_published(full).map(EarlierTrafficUpdate::Full)
+    }
+
+    /// Converts an update of a build with message version 6; `None` if it is damaged.
+    pub fn from_earlier(update: EarlierTrafficUpdate) -> Option<Self> {
+        Some(match update {
+            EarlierTrafficUpdate::Full(compressed) => {
+                let encoded = compression::decompress(&compressed).ok()?;
+                TrafficUpdate::Full(Arc::new(PublishedTraffic::decode(&encoded)?))
+            }
+            EarlierTrafficUpdate::Difference {
+                base,
+                version,
+                packed,
+            } => TrafficUpdate::Difference(Arc::new(TrafficDifference {
+                base,
+                version,
+                packed,
+                next: None,
+                is_of_earlier_build: true,
+            })),
+        })
+    }
+
     /// Returns the newer configuration of a node that has `current`.
     ///
     /// # Errors
@@ -63,12 +124,14 @@
 }
 
 impl TrafficDifference {
-    fn between(base: &PublishedTraffic, next: &PublishedTraffic) -> Option<Self> {
+    fn between(base: &PublishedTraffic, next: &SharedTraffic) -> Option<Self> {
         let compressed = compression::compress_against(&base.encode(), &next.encode()).ok()?;
         Some(Self {
             base: base.version(),
             version: next.version(),
             packed: compressed,
+            next: Some(next.clone()),
+            is_of_earlier_build: false,
         })
     }
 
@@ -79,7 +142,11 @@
         let base = current
             .filter(|current| current.version() == self.base)
             .ok_or(TrafficUpdateError::BaseMismatch(self.base))?;
-        let encoded = compression::decompress_against(&base.encode(), &self.packed)
+        let dictionary = match self.is_of_earlier_build {
+            true => earlier_builds::encode_published(base).ok_or(TrafficUpdateError::Malformed)?,
+            false => base.encode(),
+        };
+        let encoded = compression::decompress_against(&dictionary, &self.packed)
             .map_err(|_| TrafficUpdateError::Malformed)?;
         let next = PublishedTraffic::decode(&encoded).ok_or(TrafficUpdateError::Malformed)?;
         match next.version() == self.version {
--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -157,7 +157,7 @@
         self.directory.borrow_mut().record_message(&from, now);
         self.outbox
             .borrow_mut()
-            .record_message(&from, envelope.incarnation);
+            .record_message(&from, envelope.incarnation, envelope.version);
         match envelope.message {
             PeerMessage::Group { group, message } => self.deliver_to_group(group, from, message),
             PeerMessage::Session(SessionMessage::Reply(reply)) => {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -80,6 +80,8 @@
     pub peer_sent_bytes: IntCounterVec,
     /// Messages received from peers, by result.
     pub peer_received: IntCounterVec,
+    /// Messages from peers, by the message version in which they were encoded.
+    pub peer_received_versions: IntCounterVec,
     /// Bytes received from peers, by kind of message.
     pub peer_received_bytes: IntCounterVec,
     /// 1 if this process leads a group, by group.
@@ -321,6 +323,11 @@
                 "Messages from peers",
                 &["result"],
             ),
+            peer_received_versions: counter(
+                "silversail_peer_received_versions_total",
+                "Messages from peers, by message version",
+                &["version"],
+            ),
             peer_received_bytes: counter(
                 "silversail_peer_received_bytes_total",
                 "Bytes from peers",
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -221,6 +221,11 @@
                 .peer_received
                 .with_label_values(&[kind])
                 .inc();
+            let version = envelope.version.to_string();
+            receive_metrics
+                .peer_received_versions
+                .with_label_values(&[&version])
+                .inc();
             receive_metrics
                 .peer_received_bytes
                 .with_label_values(&[kind])
--- a/crates/daemon/src/outbox.rs
+++ b/crates/daemon/src/outbox.rs
@@ -102,9 +102,14 @@
         self.transport.reconnect(node);
     }
 
-    /// Records that a message of a node's process arrived.
-    pub fn record_message(&mut self, from: &NodeName, incarnation: u64) {
-        self.transport.record_message(from, incarnation);
+    /// Whether a node is known to speak an earlier message version than this build.
+    pub fn speaks_earlier_version(&self, node: &NodeName) -> bool {
+        self.transport.speaks_earlier_version(node)
+    }
+
+    /// Records that a message of a node's process arrived, encoded in `version`.
+    pub fn record_message(&mut self, from: &NodeName, incarnation: u64, version: u8) {
+        self.transport.record_message(from, incarnation, version);
     }
 
     fn wrap(&self, message: PeerMessage) -> Envelope {
--- a/crates/daemon/src/replica/proposals.rs
+++ b/crates/daemon/src/replica/proposals.rs
@@ -1,9 +1,10 @@
 //! Proposals that other processes send to a replica.
 
 use crate::replica::actor::{PendingProposal, ReplicaActor, ReplicaState};
-use silversail_consensus::{Millis, ProposeError, StateMachine};
+use silversail_consensus::{Millis, ProposeError, Role, StateMachine};
+use silversail_control::earlier_builds::convert_command;
 use silversail_model::NodeName;
-use silversail_peer::ProposalResult;
+use silversail_peer::{GroupId, ProposalResult};
 
 /// Heartbeat intervals without a message after which proposers are not referred to a leader, so
 /// that they don't wait for a leader that has failed.
@@ -11,8 +12,13 @@
 
 impl<M: StateMachine + 'static> ReplicaActor<M> {
     pub(super) fn propose(&mut self, from: NodeName, proposal: u64, command: Vec<u8>, now: Millis) {
+        let is_understood = self.is_understood_by_all(&command);
         let proposed = match &mut self.state {
             ReplicaState::Forming(_) => Err(None),
+            // The proposer retries until the last member has been upgraded.
+            ReplicaState::Member(replica) if replica.role() == Role::Leader && !is_understood => {
+                Err(None)
+            }
             ReplicaState::Member(replica) => match replica.propose(command, now) {
                 Ok(index_and_term) => Ok(index_and_term),
                 // The next leader is not known yet; the proposer retries.
@@ -37,6 +43,25 @@
         }
     }
 
+    /// Whether every member of the group can apply a command. An entry that a member of an earlier
+    /// build can't be sent would keep all later entries from it.
+    fn is_understood_by_all(&self, command: &[u8]) -> bool {
+        let ReplicaState::Member(replica) = &self.state else {
+            return true;
+        };
+        let membership = replica.membership();
+        let members = membership
+            .voters
+            .values()
+            .chain(membership.learners.values());
+        let outbox = self.setup.outbox.borrow();
+        let mut earlier =
+            members.filter(|node| outbox.speaks_earlier_version(&NodeName::from(node.as_str())));
+        let has_earlier_member = earlier.next().is_some();
+        let is_control = self.setup.group == GroupId::Control;
+        !has_earlier_member || !is_control || convert_command(command).is_some()
+    }
+
     /// Whether a leader may have failed. A proposer referred to it would wait for the reply
     /// timeout; one that gets no leader's name retries sooner.
     fn is_unreachable(&self, leader: &NodeName, now: Millis) -> bool {
--- a/crates/peer/src/backend_list_update.rs
+++ b/crates/peer/src/backend_list_update.rs
@@ -32,6 +32,33 @@
     removed: Vec<String>,
 }
 
+/// An entry in updates of builds with message version 6.
+#[derive(Serialize, Deserialize)]
+struct EarlierEntry {
+    id: String,
+    service: String,
+    address: String,
+    zone: String,
+    slots: u32,
+    draining: bool,
+    cold: bool,
+}
+
+/// Content of an update of builds with message version 6, before compression.
+#[derive(Serialize, Deserialize)]
+struct EarlierContent {
+    entries: Vec<EarlierEntry>,
+    removed: Vec<String>,
+}
+
+/// An update as builds with message version 6 encode it.
+#[derive(Serialize, Deserialize)]
+pub struct EarlierListUpdate {
+    base: Option<BackendListVersion>,
+    version: BackendListVersion,
+    compressed: Vec<u8>,
+}
+
 /// Error of applying an update; the next heartbeat requests the missing changes again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BackendListUpdateError {
@@ -68,6 +95,61 @@
         }
     }
 
+    fn content(&self) -> Option<Content> {
+        let encoded = compression::decompress(&self.compressed).ok()?;
+        postcard::from_bytes(&encoded).ok()
+    }
+
+    /// Converts the update for a build with message version 6, which names back ends as the
+    /// platform does; `None` if it is corrupt.
+    pub fn to_earlier(&self) -> Option<EarlierListUpdate> {
+        let content = self.content()?;
+        let entries = content.entries.into_iter().map(|entry| EarlierEntry {
+            id: entry.name,
+            service: entry.service,
+            address: entry.address,
+            zone: entry.zone,
+            slots: entry.slots,
+            draining: entry.draining,
+            cold: entry.cold,
+        });
+        let removed = content.removed.into_iter();
+        let content = EarlierContent {
+            entries: entries.collect(),
+            removed: removed.map(|id| platform_name(&id).to_owned()).collect(),
+        };
+        let encoded = postcard::to_stdvec(&content).ok()?;
+        Some(EarlierListUpdate {
+            base: self.base,
+            version: self.version,
+            compressed: compression::compress(&encoded).ok()?,
+        })
+    }
+
+    /// Converts an update of a build with message version 6, which tells neither versions nor
+    /// starts of back ends; `None` if it is corrupt.
+    pub fn from_earlier(update: EarlierListUpdate) -> Option<Self> {
+        let encoded = compression::decompress(&update.compressed).ok()?;
+        let content: EarlierContent = postcard::from_bytes(&encoded).ok()?;
+        let entries = content.entries.into_iter().map(|entry| BackendListEntry {
+            name: entry.id.clone(),
+            id: entry.id,
+            service: entry.service,
+            address: entry.address,
+            zone: entry.zone,
+            version: String::new(),
+            slots: entry.slots,
+            draining: entry.draining,
+            cold: entry.cold,
+            started_at_ms: None,
+        });
+        let content = Content {
+            entries: entries.collect(),
+            removed: content.removed,
+        };
+        Some(Self::compress(update.base, update.version, &content))
+    }
+
     /// Approximate size of the encoded update, in bytes.
     pub fn size(&self) -> usize {
         self.compressed.len()
@@ -86,10 +168,7 @@
             (Some(base), Some(current)) if current.version == base => current.entries.clone(),
             (Some(base), _) => return Err(BackendListUpdateError::BaseMismatch(base)),
         };
-        let encoded = compression::decompress(&self.compressed)
-            .map_err(|_| BackendListUpdateError::Malformed)?;
-        let content: Content =
-            postcard::from_bytes(&encoded).map_err(|_| BackendListUpdateError::Malformed)?;
+        let content = self.content().ok_or(BackendListUpdateError::Malformed)?;
         for id in &content.removed {
             entries.remove(id);
         }
@@ -103,6 +182,11 @@
     }
 }
 
+/// Name by which the platform lists a back end: its identity without the time of its start.
+fn platform_name(id: &str) -> &str {
+    id.rsplit_once('@').map_or(id, |(name, _)| name)
+}
+
 /// A change from one version of the list to the next.
 struct Change {
     from: BackendListVersion,
--- a/crates/peer/src/errors.rs
+++ b/crates/peer/src/errors.rs
@@ -19,9 +19,12 @@
         /// Error of the socket library.
         source: nng::Error,
     },
-    /// The bytes are not a message of this protocol version.
-    #[error("peer message can't be decoded in this protocol version")]
+    /// The bytes are not a message of a protocol version that this build can read.
+    #[error("peer message can't be decoded")]
     Malformed,
+    /// The message is of a protocol version that this build can't read.
+    #[error("peer message is of protocol version {0}, which this build can't read")]
+    UnknownVersion(u8),
     /// The sender belongs to the named cluster instead of this one.
     #[error("peer message belongs to another cluster, '{0}'")]
     WrongCluster(String),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod errors;
 mod kind;
 pub mod message;
+pub mod peer_versions;
 pub mod transport;
+pub mod version6;
 pub mod work;
 
 pub use backend_list::{BackendList, BackendListEntry, BackendListVersion, SharedBackendList};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -15,13 +15,13 @@
 use silversail_quarantine::{QuarantineRevision, SharedQuarantineList};
 use std::fmt;
 
-/// Version of the message format; messages of other versions are dropped.
+/// Version of the message format. Messages of version 6 are translated, those of others dropped.
 pub const PROTOCOL_VERSION: u8 = 9;
 
 /// A message with its sender and cluster.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Envelope {
-    /// [`PROTOCOL_VERSION`] of the sender.
+    /// Version in which the message was encoded.
     pub version: u8,
     /// Cluster name from the sender's settings.
     pub cluster: String,
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -3,6 +3,8 @@
 use crate::connection_monitor::ConnectionMonitor;
 use crate::errors::PeerError;
 use crate::message::{Envelope, PROTOCOL_VERSION};
+use crate::peer_versions::{EncodedVersions, PeerVersions};
+use crate::version6;
 use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendBufferSize};
 use nng::{PipeEvent, Protocol, Socket};
 use silversail_model::NodeName;
@@ -53,11 +55,17 @@
     /// Closes the connection to a node that stopped responding; the next send opens a new one.
     fn reconnect(&mut self, _node: &NodeName) {}
 
-    /// Records that a message from process `incarnation` of a node was received.
-    fn record_message(&mut self, _node: &NodeName, _incarnation: u64) {}
+    /// Records that a message from process `incarnation` of a node was received, in the encoding of
+    /// `version`.
+    fn record_message(&mut self, _node: &NodeName, _incarnation: u64, _version: u8) {}
+
+    /// Whether a node is known to speak an earlier message version than this build.
+    fn speaks_earlier_version(&self, _node: &NodeName) -> bool {
+        false
+    }
 }
 
-/// Encodes an envelope.
+/// Encodes an envelope in the version of this build.
 pub fn encode(envelope: &Envelope) -> Vec<u8> {
     postcard::to_stdvec(envelope).expect("encoding into memory does not fail")
 }
@@ -65,23 +73,45 @@
 /// Decodes an envelope.
 ///
 /// # Errors
-/// [`PeerError::Malformed`] if the bytes are not an envelope of this protocol version, and
-/// [`PeerError::WrongCluster`] if the sender belongs to another cluster than `cluster`.
+/// [`PeerError::UnknownVersion`] if the bytes are of a protocol version that this build can't read,
+/// [`PeerError::Malformed`] if they are not an envelope of theirs, and [`PeerError::WrongCluster`] if
+/// the sender belongs to another cluster than `cluster`.
 pub fn decode(bytes: &[u8], cluster: &str) -> Result<Envelope, PeerError> {
-    if bytes.first() != Some(&PROTOCOL_VERSION) {
-        return Err(PeerError::Malformed);
-    }
-    let (envelope, rest): (Envelope, &[u8]) =
-        postcard::take_from_bytes(bytes).map_err(|_| PeerError::Malformed)?;
-    if !rest.is_empty() {
-        return Err(PeerError::Malformed);
-    }
+    let envelope = match bytes.first() {
+        Some(&PROTOCOL_VERSION) => decode_current(bytes)?,
+        Some(&version6::VERSION) => version6::decode(bytes)?,
+        Some(version) => return Err(PeerError::UnknownVersion(*version)),
+        None => return Err(PeerError::Malformed),
+    };
     if envelope.cluster != cluster {
         return Err(PeerError::WrongCluster(envelope.cluster));
     }
     Ok(envelope)
 }
 
+fn decode_current(bytes: &[u8]) -> Result<Envelope, PeerError> {
+    let (envelope, rest) = postcard::take_from_bytes(bytes).map_err(|_| PeerError::Malformed)?;
+    match rest {
+        [] => Ok(envelope),
+        _ => Err(PeerError::Malformed),
+    }
+}
+
+/// Encodes an envelope in each of `versions` that has a form of it, the version of this build first.
+fn encode_in(envelope: &Envelope, versions: EncodedVersions) -> Vec<Vec<u8>> {
+    match versions {
+        EncodedVersions::Current => vec![encode(envelope)],
+        EncodedVersions::Version6 => version6::encode(envelope).into_iter().collect(),
+        EncodedVersions::Both => {
+            let current = encode(envelope);
+            [Some(current), version6::encode(envelope)]
+                .into_iter()
+                .flatten()
+                .collect()
+        }
+    }
+}
+
 /// A socket for one peer address, and whether its connection is established.
 struct Connection {
     socket: Socket,
@@ -91,6 +121,7 @@
 /// Transport over TCP with `nng` push and pull sockets.
 pub struct NngTransport {
     addresses: BTreeMap<NodeName, String>,
+    versions: PeerVersions,
     connections: BTreeMap<String, Connection>,
     monitors: BTreeMap<String, ConnectionMonitor>,
     /// Replaced connections that still send their buffered messages, with the time of the
@@ -113,6 +144,7 @@
         listen(listen_address, cluster.to_owned(), receive)?;
         let mut transport = Self {
             addresses: peers.clone(),
+            versions: PeerVersions::default(),
             connections: BTreeMap::new(),
             monitors: BTreeMap::new(),
             draining: VecDeque::new(),
@@ -143,6 +175,30 @@
         connection.map(|connection| &connection.socket)
     }
 
+    fn send_in(
+        &mut self,
+        address: &str,
+        envelope: &Envelope,
+        versions: EncodedVersions,
+    ) -> SendResult {
+        let now = Instant::now();
+        let Some(socket) = self.socket(address, now) else {
+            return SendResult::Dropped;
+        };
+        let mut result = SendResult::Dropped;
+        let mut bytes = 0;
+        for encoded in encode_in(envelope, versions) {
+            if socket.try_send(&encoded[..]).is_ok() {
+                bytes += encoded.len();
+                result = SendResult::Queued { bytes };
+            }
+        }
+        if let Some(monitor) = self.monitors.get_mut(address) {
+            monitor.record_send(now);
+        }
+        result
+    }
+
     fn is_connected(&self, address: &str) -> bool {
         let connection = self.connections.get(address);
         connection.is_some_and(|connection| connection.is_connected.load(Ordering::Relaxed))
@@ -175,28 +231,15 @@
 
 impl Transport for NngTransport {
     fn send(&mut self, to: &NodeName, envelope: &Envelope) -> SendResult {
+        let versions = self.versions.for_node(to);
         match self.addresses.get(to).cloned() {
-            Some(address) => self.send_to_address(&address, envelope),
+            Some(address) => self.send_in(&address, envelope, versions),
             None => SendResult::UnknownPeer,
         }
     }
 
     fn send_to_address(&mut self, address: &str, envelope: &Envelope) -> SendResult {
-        let now = Instant::now();
-        let Some(socket) = self.socket(address, now) else {
-            return SendResult::Dropped;
-        };
-        let encoded = encode(envelope);
-        let result = match socket.try_send(&encoded[..]) {
-            Ok(()) => SendResult::Queued {
-                bytes: encoded.len(),
-            },
-            Err(_) => SendResult::Dropped,
-        };
-        if let Some(monitor) = self.monitors.get_mut(address) {
-            monitor.record_send(now);
-        }
-        result
+        self.send_in(address, envelope, EncodedVersions::Both)
     }
 
     fn set_address(&mut self, node: &NodeName, address: &str) {
@@ -216,7 +259,14 @@
         }
     }
 
-    fn record_message(&mut self, node: &NodeName, incarnation: u64) {
+    fn speaks_earlier_version(&self, node: &NodeName) -> bool {
+        self.versions.is_earlier(node)
+    }
+
+    fn record_message(&mut self, node: &NodeName, incarnation: u64, version: u8) {
+        if self.versions.record(node, incarnation, version) {
+            log::info!(event = "peer_version", node = node.as_str(), version = version; "message version of a peer");
+        }
         let Some(address) = self.addresses.get(node).cloned() else {
             return;
         };
