Nodes share out the places of back ends that fail when they reject too much

Engines may say that they fail if they have to reject more than a number of requests in a second. Nobody read it; under demand above capacity nine nodes were rejected 45 times in a second by one engine.

The number is heard in each answer and told once in the log. While it applies a node uses its share of the engine's places, does not send while the engine's last report says that all are in use, and backs off after a rejection, for all kinds of calls, by the rests that there are already.

Also with this commit: a peer that rejects a forwarded request unrun, or does not know its route yet, is passed over for another (serving/tests/forwarding.rs).

--- a/crates/daemon/src/gateway/forwarding.rs
+++ b/crates/daemon/src/gateway/forwarding.rs
@@ -30,6 +30,9 @@
     Some(attempts.unwrap_or(1))
 }
 
+/// Statuses by which a node rejects requests without a route or with an unknown key.
+const UNKNOWN_STATUSES: [u16; 3] = [401, 403, 404];
+
 impl RequestSender {
     /// Forwards the request `id` to the peer of `plan`, until the plan's deadline. The callbacks
     /// are used for streamed answers only.
@@ -51,8 +54,11 @@
             if !head.matches_request || (is_success && !head.is_signed) {
                 return Err(SendOutcome::Unknown(UnknownReason::Garbled).into());
             }
-            // The peer's word holds for what it did itself only.
-            if plan.earlier_attempts > 0 && NOT_RUN_STATUSES.contains(&status) {
+            // The peer's word holds for what it did itself only, and it may not have applied the
+            // configuration by which this node accepted the request yet.
+            let is_own_refusal = plan.earlier_attempts > 0 && NOT_RUN_STATUSES.contains(&status);
+            let is_unknown_there = UNKNOWN_STATUSES.contains(&status) && !head.is_signed;
+            if is_own_refusal || is_unknown_there {
                 reuse_after_refusal(connection, response.into_body()).await;
                 return Err(SendOutcome::NotRun(NotRunReason::Refused).into());
             }
--- a/crates/daemon/src/gateway/notices.rs
+++ b/crates/daemon/src/gateway/notices.rs
@@ -85,6 +85,12 @@
         if changes.is_limit_changed {
             count("limit");
         }
+        if changes.is_brittleness_changed {
+            count("brittle");
+        }
+        if report.has_unreadable_max_rejections {
+            count("unreadable_brittle");
+        }
         if report.limit.is_unreadable {
             count("unreadable_limit");
         }
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -250,6 +250,13 @@
         /// Node that sent the limit; empty if the back end did.
         told_by: String,
     },
+    /// The number of rejections per second that a back end bears, from all nodes together, changed.
+    BrittlenessChanged {
+        /// The back end.
+        backend: String,
+        /// Rejections per second above which it fails; absent if it bears any number.
+        max_rejections_per_second: Option<u32>,
+    },
     /// A back end sent a status header that this node can't parse; logged once per header name.
     UnknownHeader {
         /// First back end that sent the header.
--- a/crates/serving/src/dispatcher/backoff.rs
+++ b/crates/serving/src/dispatcher/backoff.rs
@@ -145,7 +145,7 @@
         {
             let at = engine.available_at(now)?;
             let is_waiting = engine.is_in_backoff(now) || engine.is_probe_pending(now);
-            waits_help |= is_waiting || engine.is_limited();
+            waits_help |= is_waiting || engine.is_limited() || engine.has_full_share(now);
             let order = (at, rendezvous_hash(hash, &engine.listed.id));
             if first.as_ref().is_none_or(|known| order < known.order) {
                 first = Some(FirstAvailable { at, order, engine });
--- a/crates/serving/src/dispatcher/forwarding.rs
+++ b/crates/serving/src/dispatcher/forwarding.rs
@@ -93,8 +93,8 @@
         self.end(number, code, Some(RETRY_AFTER_CUT_OFF), now)
     }
 
-    /// Continues a request with the outcome of its forwarding. Only a request that did not reach
-    /// the peer is forwarded again: otherwise the peer may have used all of its attempts.
+    /// Continues a request with the outcome of its forwarding. Only a request that the peer did not
+    /// get or did not run is forwarded again: otherwise the peer may have used all of its attempts.
     pub(super) fn forward_ended(
         &mut self,
         number: RequestNumber,
@@ -107,19 +107,19 @@
             SendOutcome::Delivered { status, is_whole } => {
                 return self.delivered(number, forward.node.as_str(), status, is_whole, now);
             }
-            SendOutcome::NotRun(NotRunReason::Unreachable) => {
-                self.peers.record_unreachable(&forward.node, now);
-                self.log_forward_failed(number, forward, "not_run", "Unreachable", now);
+            SendOutcome::NotRun(reason) => {
+                if reason == NotRunReason::Unreachable {
+                    self.peers.record_unreachable(&forward.node, now);
+                }
+                self.log_forward_failed(number, forward, "not_run", &format!("{reason:?}"), now);
                 return self.forward_or_reject(number, now);
             }
-            SendOutcome::NotRun(reason) => ("not_run", format!("{reason:?}")),
             SendOutcome::Unknown(reason) => ("unknown", format!("{reason:?}")),
             SendOutcome::Failed { status } => ("failed", format!("status_{status}")),
         };
         self.log_forward_failed(number, forward, what, &reason, now);
         let is_idempotent = self.is_idempotent(number);
         let code = match outcome {
-            SendOutcome::NotRun(_) => ResultCode::BackendRefused,
             SendOutcome::Unknown(UnknownReason::Deadline) if is_idempotent => {
                 ResultCode::DeadlineMissed
             }
--- a/crates/serving/src/instances.rs
+++ b/crates/serving/src/instances.rs
@@ -61,6 +61,8 @@
     notices: BackendNotices,
     resume_policy: ResumePolicy,
     local_node: String,
+    /// Number of nodes that send requests.
+    senders: u32,
     log: DecisionLog,
 }
 
@@ -77,6 +79,7 @@
             notices,
             resume_policy: ResumePolicy::default(),
             local_node: String::new(),
+            senders: 1,
             instances: InstanceStore::default(),
             applied: BackendListEntries::default(),
             superseded: BTreeMap::new(),
@@ -122,6 +125,11 @@
 
     /// Sets the nodes that send requests, and the name of this one.
     pub fn set_senders(&mut self, local_node: &str, nodes: Vec<String>) {
+        self.senders = nodes.len().max(1) as u32;
+        self.notices.set_senders(local_node, nodes.len());
+        for instance in self.instances.iter_mut() {
+            instance.senders = self.senders;
+        }
         self.cold_senders.set_nodes(local_node, nodes);
         if self.local_node != local_node {
             self.local_node = local_node.to_owned();
--- a/crates/serving/src/instances/instance.rs
+++ b/crates/serving/src/instances/instance.rs
@@ -16,6 +16,12 @@
 /// unanswered, in milliseconds.
 const PROBE_TIMEOUT: Millis = 1_000;
 
+/// How long the reported occupancy of a brittle back end counts, in milliseconds.
+const OCCUPANCY_LIFETIME: Millis = 250;
+/// Time after which a brittle back end that has this node's share of requests is looked at again, in
+/// milliseconds.
+const SHARE_CHECK_INTERVAL: Millis = 100;
+
 /// A listed back end with its load and health.
 #[derive(Clone, Debug)]
 pub struct Instance {
@@ -50,6 +56,8 @@
     pub(super) resume_plan: ResumePlan,
     /// When this node sent the probe after a back-off; none if none was sent.
     pub(super) probe_sent_at: Option<Millis>,
+    /// Number of nodes that send requests.
+    pub(super) senders: u32,
 }
 
 impl Instance {
@@ -63,6 +71,7 @@
             notice,
             resume_plan,
             probe_sent_at: None,
+            senders: 1,
             listed,
             is_evacuated: false,
             role: VersionRole::Ordinary,
@@ -110,7 +119,14 @@
             .backoff_until()
             .max(self.probe_pending_until(now));
         let permit_at = self.notice.permit_at(now).unwrap_or(0);
-        let until = backoff_until.max(self.full_until).max(permit_at);
+        let share_at = match self.has_full_share(now) {
+            true => now + SHARE_CHECK_INTERVAL,
+            false => 0,
+        };
+        let until = backoff_until
+            .max(self.full_until)
+            .max(permit_at)
+            .max(share_at);
         Some(until).filter(|until| now < *until)
     }
 
@@ -190,6 +206,20 @@
         self.is_healthy(now) && (self.is_held_back(now) || self.is_return_delayed(now))
     }
 
+    /// Whether it is brittle and either has this node's share of requests or has just reported that
+    /// all its slots are in use. Nodes that keep to their shares of many slots never fill it.
+    pub(crate) fn has_full_share(&self, now: Millis) -> bool {
+        if !self.notice.is_brittle() {
+            return false;
+        }
+        let share = (self.listed.slots / self.senders).max(1);
+        let recent = self
+            .report(now)
+            .filter(|(_, age)| *age <= OCCUPANCY_LIFETIME);
+        let is_occupied = recent.is_some() && self.expected_load(now) >= self.listed.slots.max(1);
+        self.in_flight >= share || is_occupied
+    }
+
     fn is_healthy(&self, now: Millis) -> bool {
         self.accepts_new_work() && !self.is_ejected(now) && self.available_at(now).is_none()
     }
--- a/crates/serving/src/instances/listing.rs
+++ b/crates/serving/src/instances/listing.rs
@@ -73,7 +73,9 @@
         self.removed.retain(|id| *id != entry.id);
         let notice = self.notices.mark_listed(&entry.id);
         let plan = self.resume_policy.plan_for(&self.local_node, &entry.id);
-        self.put(Instance::new(entry.clone(), notice, plan));
+        let mut instance = Instance::new(entry.clone(), notice, plan);
+        instance.senders = self.senders;
+        self.put(instance);
     }
 
     fn put(&mut self, mut instance: Instance) {
--- a/crates/serving/src/notices.rs
+++ b/crates/serving/src/notices.rs
@@ -7,6 +7,7 @@
 //! before the next send.
 
 mod backend_notice;
+mod brittle;
 mod limits;
 
 pub use backend_notice::BackendNotice;
@@ -17,7 +18,7 @@
 use silversail_decisions::{DecisionLog, Event};
 use silversail_limits::Serial;
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -86,6 +87,8 @@
     pub is_draining: bool,
     /// The back end's rate limit changed.
     pub is_limit_changed: bool,
+    /// The number of rejections per second that the back end bears changed.
+    pub is_brittleness_changed: bool,
 }
 
 /// Advertised state because of which nothing may be sent to a back end.
@@ -149,6 +152,10 @@
     backoffs_to_log: Arc<AtomicUsize>,
     /// Number of back ends with a rate limit.
     limits: Arc<AtomicUsize>,
+    /// Number of nodes that send to the back ends.
+    senders: Arc<AtomicUsize>,
+    /// Hash of the name of this node.
+    node_hash: Arc<AtomicU64>,
     /// Unknown header names that were logged.
     unknown_names: Arc<Mutex<BTreeSet<String>>>,
     log: DecisionLog,
@@ -161,6 +168,8 @@
             entries: Arc::default(),
             backoffs_to_log: Arc::default(),
             limits: Arc::default(),
+            senders: Arc::default(),
+            node_hash: Arc::default(),
             unknown_names: Arc::default(),
             log,
         }
@@ -192,11 +201,13 @@
         let mut entries = self.lock();
         let entry = entries.entry(id);
         let mut changes = SelfReportChanges::default();
-        if report.backoff.is_none() && entry.notice.is_unproven(now) {
+        let is_rejected_as_brittle = self.backoff_of_brittle(report, now).is_some();
+        if report.backoff.is_none() && !is_rejected_as_brittle && entry.notice.is_unproven(now) {
             entry.notice.had_backoff.store(false, Ordering::Release);
         }
-        if let Some(backoff) = report.backoff {
-            let backoff_ms = ceil_millis(backoff);
+        changes.is_brittleness_changed = self.record_brittleness(id, &entry.notice, answer, report);
+        let backoff_ms = report.backoff.map(ceil_millis);
+        if let Some(backoff_ms) = backoff_ms.max(self.backoff_of_brittle(report, now)) {
             let until = now.saturating_add(backoff_ms);
             changes.is_longer_backoff = entry
                 .notice
--- a/crates/serving/src/notices/backend_notice.rs
+++ b/crates/serving/src/notices/backend_notice.rs
@@ -4,7 +4,7 @@
 use crate::Millis;
 use silversail_limits::PermitPool;
 use silversail_model::RequestRate;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
 /// Advertised state of one back end. Only its permits need a lock to read.
@@ -16,6 +16,8 @@
     pub(super) backoff_ms: AtomicU64,
     pub(super) had_backoff: AtomicBool,
     pub(super) is_draining: AtomicBool,
+    /// Rejections per second above which it fails; 0 for any number.
+    pub(super) max_rejections: AtomicU32,
 }
 
 impl BackendNotice {
@@ -45,6 +47,11 @@
         self.had_backoff() && !self.is_in_backoff(now)
     }
 
+    /// Whether it fails if it has to reject more requests per second than it advertises.
+    pub fn is_brittle(&self) -> bool {
+        self.max_rejections.load(Ordering::Acquire) > 0
+    }
+
     /// Whether it announced that it is draining.
     pub fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Acquire)
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -118,6 +118,13 @@
     pub is_draining: bool,
     /// Rate limit for all nodes together; it applies while answers advertise it.
     pub limit: AdvertisedRateLimit,
+    /// Rejections per second above which it fails, if it advertises that; the lowest if it
+    /// advertises several.
+    pub max_rejections_per_second: Option<u32>,
+    /// Whether such a number was advertised that cannot be parsed.
+    pub has_unreadable_max_rejections: bool,
+    /// Whether it rejected the request for lack of room.
+    pub is_full: bool,
     /// Names of state headers that this version does not know.
     pub unknown: Vec<String>,
 }
--- a/crates/serving/tests/rests.rs
+++ b/crates/serving/tests/rests.rs
@@ -43,6 +43,9 @@
         lowest: None,
         is_unreadable: false,
     },
+    max_rejections_per_second: None,
+    has_unreadable_max_rejections: false,
+    is_full: false,
     unknown: Vec::new(),
 };
 
