--- a/crates/control/src/batch_owners.rs
+++ b/crates/control/src/batch_owners.rs
@@ -24,7 +24,8 @@
 const MAX_BACKENDS_TO_UNSHARD: usize = 8;
 
 /// Minimum mean number of back ends per zone for sharding by zone when there are several regions.
-/// With fewer, owners form small batches and send overflow to other regions.
+/// With fewer, owners form small batches and send overflow to other regions. An order that its
+/// zone cannot take goes to another region and back, which takes 20 ms.
 const MIN_MEAN_BACKENDS_PER_ZONE: usize = 6;
 /// Minimum mean number of back ends per zone at which a service sharded by region becomes sharded
 /// by zone; higher than [`MIN_MEAN_BACKENDS_PER_ZONE`], so that small changes do not reassign all
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -29,7 +29,8 @@
     idle_timeout: Duration::from_secs(15),
 };
 
-/// Retry delay sent to callers when the memory for request bodies is exhausted.
+/// Retry delay sent to callers when the memory for request bodies is exhausted. Slow back ends
+/// read held bodies in seconds.
 const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// HTTP service that accepts callers' requests.
--- a/crates/daemon/src/gateway/entry_points.rs
+++ b/crates/daemon/src/gateway/entry_points.rs
@@ -8,7 +8,8 @@
 use std::hash::{Hash, Hasher};
 
 /// Minimum number of nodes in a region, as a share of the mean over all regions. A region that
-/// lost one of two zones still meets it, so that its callers stay local.
+/// lost one of two zones still meets it, so that its callers stay local. Its nodes then have twice
+/// their load, but answers from another region would be later.
 const MIN_SHARE_OF_MEAN: f64 = 0.5;
 /// Minimum number of nodes, so that callers have alternatives when one fails.
 const MIN_NODES: usize = 3;
--- a/crates/daemon/src/gateway/list_reader.rs
+++ b/crates/daemon/src/gateway/list_reader.rs
@@ -15,8 +15,9 @@
 /// Takeover delay of the first other node after the end of the lease, in milliseconds. Reachable
 /// replicating nodes have read the list by then.
 const OTHER_NODES_DELAY: Millis = 1_500;
-/// Takeover delay between successive other nodes, as a multiple of the time that one read takes
-/// at the allowed rate. Keeps hundreds of isolated nodes within that rate together.
+/// Takeover delay between successive other nodes, as a multiple of the time that one read takes at
+/// the allowed rate. Keeps hundreds of isolated nodes within that rate together. A node reads
+/// again only when as much time has passed since its own read.
 const READS_PER_STEP: f64 = 5.0;
 
 /// Input to the decision whether a node reads the backend list.
--- a/crates/limits/src/issuer.rs
+++ b/crates/limits/src/issuer.rs
@@ -13,7 +13,8 @@
 /// Time in which a new issuer grants no permits, in milliseconds: the previous issuer may still
 /// act on an older view, and its permits may still be in use.
 const TAKEOVER_DELAY: Millis = 1_500;
-/// Token bucket capacity, in milliseconds of the rate.
+/// Token bucket capacity, in milliseconds of the rate. Bounds what is granted at once after a time
+/// without requests.
 const BURST_MS: f64 = 50.0;
 /// How long a permit request stays valid unless it is repeated, in milliseconds.
 const REQUEST_LIFETIME: Millis = 2_500;
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -13,8 +13,9 @@
 use std::sync::Arc;
 
 /// Reports on the same back end whose times differ by less than this, in milliseconds, count as
-/// one crash: nodes repeat a report for several seconds, and the clocks of leaders differ. A second
-/// crash of the same back end within this time is not counted.
+/// one crash: nodes repeat a report for several seconds, and the clocks of leaders differ. A
+/// second crash of the same back end within this time is not counted. Clocks of leaders may differ
+/// by two seconds.
 const SAME_CRASH_WINDOW_MS: u64 = 5_000;
 /// Time without a crash, in milliseconds, after which requests are released whose crashes are
 /// explained by other refused requests.
--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -38,6 +38,7 @@
 /// Maximum factor by which one change increases the canary share.
 const MAX_CANARY_GROWTH_FACTOR: f64 = 2.0;
 /// Fraction of the allowed exposure share that the candidate gets before request rates are known.
+/// With a larger one, the last move of a good version has less exposure left and may come late.
 const INITIAL_CANARY_FRACTION: f64 = 0.2;
 /// Time before the deadline at which the end is decided, in milliseconds, so that it can be
 /// committed and distributed.
@@ -46,7 +47,7 @@
 /// requests since the order. They are mostly long streams, which can resume.
 const MAX_ABANDONED_SHARE: f64 = 0.1;
 /// Maximum time after the deadline and after the last directive to wait for more responses while a
-/// comparison is suspicious, in milliseconds.
+/// comparison is suspicious, in milliseconds. All traffic clears a suspicion by chance in less.
 const SUSPICION_EXTENSION_MS: u64 = 3_000;
 /// Probability of a comparison up to which the deadline is not extended before a rollback.
 const DEADLINE_ALARM_PROBABILITY: f64 = 1e-3;
--- a/crates/rollout/src/history.rs
+++ b/crates/rollout/src/history.rs
@@ -3,7 +3,7 @@
 use crate::evidence::Evidence;
 use std::collections::VecDeque;
 
-/// Minimum time between two samples, in milliseconds.
+/// Minimum time between two samples, in milliseconds. As often as the leader evaluates a rollout.
 const MIN_SAMPLE_INTERVAL_MS: u64 = 100;
 /// Time for which samples are kept, in milliseconds: longer than the responses of most routes.
 const RETENTION_MS: u64 = 12_000;
--- a/crates/rollout/src/verdict.rs
+++ b/crates/rollout/src/verdict.rs
@@ -16,7 +16,8 @@
 use crate::order::Verdict;
 use crate::statistics::{binomial_tail, upper_share};
 
-/// Length of the period over which recent responses are assessed separately, in milliseconds.
+/// Length of the period over which recent responses are assessed separately, in milliseconds. Long
+/// enough for some hundred responses of the baseline, and short against the bound on a rollback.
 const RECENT_PERIOD_MS: u64 = 3_000;
 /// Probability of a false alarm in one assessment of all comparisons. A rollout has hundreds of
 /// assessments, most of them of nearly the same responses.
@@ -29,7 +30,7 @@
 const MIN_BAD_FOR_ALARM: u64 = 5;
 /// Minimum number of bad responses for a suspicion.
 const MIN_BAD_FOR_SUSPICION: u64 = 3;
-/// Share of failures beyond the allowed one that a proof rules out.
+/// Share of failures beyond the allowed one that a proof rules out. Takes some 20 responses.
 const PROOF_FAILURE_MARGIN: f64 = 0.18;
 /// Share of slow responses beyond the allowed one that a proof rules out.
 const PROOF_SLOW_MARGIN: f64 = 0.3;
@@ -44,13 +45,15 @@
 /// Tolerated share of bad responses beyond the baseline's, as a fraction of the baseline's share:
 /// back ends differ more while a service has faults.
 const RELATIVE_TOLERANCE: f64 = 0.25;
-/// Tolerated share of slow responses beyond the baseline's.
+/// Tolerated share of slow responses beyond the baseline's. A version that is several times slower
+/// has most of its responses beyond the slowness threshold.
 const SLOW_TOLERANCE: f64 = 0.15;
 /// Additional tolerance if the baseline responses are from an earlier period.
 const EARLIER_BASELINE_TOLERANCE: f64 = 0.03;
 /// A time is slow beyond this multiple of the baseline's third quartile, plus an allowance.
 const SLOW_FACTOR: f64 = 2.0;
 /// Allowance for the time to first byte, in milliseconds: a new back end has no cached prompts.
+/// Engines read 30 to 50 tokens of a prompt per millisecond, and prompts have some thousand.
 const FIRST_BYTE_ALLOWANCE_MS: f64 = 250.0;
 /// Allowance for the response time, in milliseconds, for the jitter of short responses.
 const RESPONSE_TIME_ALLOWANCE_MS: f64 = 20.0;
--- a/crates/serving/src/crashes.rs
+++ b/crates/serving/src/crashes.rs
@@ -11,8 +11,9 @@
 use silversail_model::RequestFingerprint;
 use std::collections::BTreeMap;
 
-/// Time after the first loss in which further losses belong to the same crash, in milliseconds:
-/// an idle connection shows the end of its peer after up to 1,500 ms.
+/// Time after the first loss in which further losses belong to the same crash, in milliseconds: an
+/// idle connection shows the end of its peer after up to 1,500 ms. Most connections to an engine
+/// that ends break together.
 const SAME_CRASH_WINDOW: Millis = 2_000;
 
 /// A request that was interrupted by the loss of its connection.
--- a/crates/serving/src/instances.rs
+++ b/crates/serving/src/instances.rs
@@ -32,11 +32,13 @@
 const FULL_FOR: Millis = 150;
 
 /// How long the back ends of a zone count as cold after its evacuation ends, in milliseconds.
-/// Covers the delay until the list tells whether they are cold.
+/// Covers the delay until the list tells whether they are cold. The list is up to 0.8 s old, and
+/// is read and distributed about once per second.
 const ASSUMED_COLD_FOR: Millis = 2_500;
 
-/// How long a back end counts as gone after another one answered at its address, in
-/// milliseconds. Covers the time for which the list still names a crashed back end.
+/// How long a back end counts as gone after another one answered at its address, in milliseconds.
+/// Covers the time for which the list still names a crashed back end. A wrong assumption costs one
+/// request in that time.
 const ADDRESS_MISMATCH_FOR: Millis = 10_000;
 
 /// Identity of one process of a back end; a restart gets a new one.
--- a/crates/serving/src/instances/instance.rs
+++ b/crates/serving/src/instances/instance.rs
@@ -13,7 +13,7 @@
 /// How long a reported processing time is valid, in milliseconds; it changes many times per second.
 const PROCESSING_TIME_LIFETIME: Millis = 300;
 /// How long the probe after a back-off keeps other requests of this node away while it is
-/// unanswered, in milliseconds.
+/// unanswered, in milliseconds. Engines that accept work begin to answer within it.
 const PROBE_TIMEOUT: Millis = 1_000;
 
 /// How long the reported occupancy of a brittle back end counts, in milliseconds.
--- a/crates/serving/src/instances/versions.rs
+++ b/crates/serving/src/instances/versions.rs
@@ -11,6 +11,7 @@
 /// How long a new version beside known ones gets no requests while no rollout order names it, in
 /// milliseconds. Its back ends may start before the order is known here, and would get an even
 /// share of the traffic until then. Where no other back end is usable they get requests at once.
+/// Within this time an order is acknowledged or rejected, and known to all nodes.
 const HOLD_BACK_DURATION: Millis = 5_000;
 
 /// Known versions by service, each with the time from which it may get requests without a
--- a/crates/serving/src/notices.rs
+++ b/crates/serving/src/notices.rs
@@ -23,7 +23,8 @@
 use std::time::Duration;
 
 /// How long the state of an unlisted back end is kept, in milliseconds: a back end may be missing
-/// from the list temporarily.
+/// from the list temporarily. Far longer than back ends take to leave; the state of one takes some
+/// 200 bytes.
 const UNLISTED_RETENTION: Millis = 600_000;
 
 /// Maximum number of unknown header names that are logged; further ones are not logged.
--- a/crates/serving/src/popularity.rs
+++ b/crates/serving/src/popularity.rs
@@ -9,7 +9,8 @@
 use std::hash::{Hash, Hasher};
 
 /// A prefix is popular if it recurs within this time, in milliseconds. Shorter than the time for
-/// which engines cache prompts.
+/// which engines cache prompts. A prefix that recurs within it at one of ten nodes comes to their
+/// region about once per second.
 const POPULAR_WITHIN: Millis = 10_000;
 /// Maximum number of tracked prefixes.
 const MAX_TRACKED_PREFIXES: usize = 4_096;
--- a/crates/serving/src/regions.rs
+++ b/crates/serving/src/regions.rs
@@ -8,9 +8,10 @@
 use silversail_model::{Distance, Topology};
 use std::collections::BTreeMap;
 
-/// Milliseconds per megabyte transferred between regions, at 100 MB/s per transfer.
+/// Milliseconds per megabyte transferred between regions, at 100 MB/s per transfer. A tenth of
+/// what links inside a region carry.
 const MS_PER_MEGABYTE: f64 = 10.0;
-/// Utilization up to which a back end is assumed to have no queue.
+/// Utilization up to which a back end is assumed to have no queue. Reported loads lag.
 const QUEUE_FREE_UTILIZATION: f64 = 0.6;
 /// Queueing cost per unit of utilization above that, in milliseconds. Consistent with the affinity
 /// slack within a region, where 0.15 is traded for the prefill of a long prompt.
--- a/crates/serving/src/waits.rs
+++ b/crates/serving/src/waits.rs
@@ -12,10 +12,12 @@
 
 /// How long a reported estimate stays valid, in milliseconds.
 const ESTIMATE_LIFETIME: Millis = 1_500;
-/// Minimum gain in queue time for which an order leaves its preferred zone, in milliseconds.
+/// Minimum gain in queue time for which an order leaves its preferred zone, in milliseconds. About
+/// half of a call, as an order waits for a batch in its zone.
 const OTHER_ZONE_MARGIN: u32 = 200;
 /// Minimum gain in queue time, beyond network and transfer time, for which an order leaves its
-/// region, in milliseconds. Covers the age of the estimates.
+/// region, in milliseconds. Covers the age of the estimates. Estimates are up to 100 ms old when
+/// they are sent, and by half a round trip older on arrival.
 const OTHER_REGION_MARGIN: u64 = 60;
 /// Index of the random draw for the shard of another region; 0 and 1 are for the local region.
 const OTHER_REGION_DRAW: u64 = 2;
