Orders of whole services keep to their shard, and go on to its next owner only

The check that an order of a whole service does not move to another shard, which stood in daemon/tests/submitted_orders.rs, failed since a node that is cut off gives its shards up: orders went to the new owner by the same question. They now ask another one, with the same bound on moves; the check holds as written, and a test for the bound is added.

--- a/crates/daemon/src/gateway/batching.rs
+++ b/crates/daemon/src/gateway/batching.rs
@@ -294,12 +294,15 @@
         if !self.submitted_orders.is_assigned_to(work, owner) || !self.dispatcher.has_order(work) {
             return false;
         }
-        let Some(phase) = self.submitted_orders.movable_phase(work, now) else {
+        let Some(phase) = self.submitted_orders.reassignable_phase(work, now) else {
             return false;
         };
+        let may_change_shard = self.submitted_orders.movable_phase(work, now).is_some();
         let placement = self.place_order(work, &phase, now);
-        let is_other =
-            |(shard, new_owner): &(Shard, NodeName)| *shard != phase.shard || new_owner != owner;
+        let is_other = |(shard, new_owner): &(Shard, NodeName)| match *shard == phase.shard {
+            true => new_owner != owner,
+            false => may_change_shard,
+        };
         let Some(placement) = placement.filter(is_other) else {
             return false;
         };
--- a/crates/daemon/src/gateway/submitted_orders.rs
+++ b/crates/daemon/src/gateway/submitted_orders.rs
@@ -118,13 +118,20 @@
         Some(phase)
     }
 
-    /// Phase of an order that may still move to another shard or owner of its service.
-    pub fn movable_phase(&self, work: WorkId, now: Millis) -> Option<PhaseWork> {
+    /// Phase of an order that may still go to another owner of its shard.
+    pub fn reassignable_phase(&self, work: WorkId, now: Millis) -> Option<PhaseWork> {
         let order = self.orders.get(&work)?;
         let may_move = order.moves < MAX_MOVES;
         may_move.then(|| self.current_phase(work, now))?
     }
 
+    /// Phase of an order that may still move to another shard of its service.
+    pub fn movable_phase(&self, work: WorkId, now: Millis) -> Option<PhaseWork> {
+        let order = self.orders.get(&work)?;
+        let may_move = !order.phase.shard.is_whole_service() && order.moves < MAX_MOVES;
+        may_move.then(|| self.current_phase(work, now))?
+    }
+
     /// Moves an order to another shard or owner and resubmits it.
     pub fn move_to(
         &mut self,
--- a/crates/daemon/tests/submitted_orders.rs
+++ b/crates/daemon/tests/submitted_orders.rs
@@ -119,3 +119,16 @@
     orders.record_submission(1, node("n1"), order(), 0);
     assert!(orders.movable_phase(1, 100).is_none());
 }
+
+/// Two nodes that reach no back end must not send an order to each other without end.
+#[test]
+fn an_order_goes_to_another_owner_of_its_shard_a_bounded_number_of_times() {
+    let mut orders = SubmittedOrders::default();
+    orders.record_submission(1, node("n1"), order(), 0);
+    for owner in ["n2", "n1"] {
+        let phase = orders.reassignable_phase(1, 100).expect("may go on");
+        let moved = orders.move_to(1, (phase.shard, node(owner)), 100);
+        assert_eq!(moved.expect("order is pending").0, node(owner));
+    }
+    assert!(orders.reassignable_phase(1, 100).is_none());
+}
