A stream that a caller takes up goes on at the software version that began it

Callers got streams with events of two software versions of a back end. Cause: a request that takes a stream up was placed like a new one; Resumes was read nowhere, and only the node that served the first attempt, which may have ended, could know the version.

A request with Resumes or Last-Event-Id is looked up (own records, holders, the other candidates) and restricted to that service and version. Without a record it goes on only where this node and peers have seen one version of the service for 30 s; otherwise it is refused: 2117, or 2118 where the version is gone. Such requests pass admission by forecast and are no exposure in a rollout. Messages are version 10; all others stay 9, so that earlier builds read them.

--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -194,6 +194,11 @@
                     call!([gateway], handle_work_message(from, message));
                 }
             }
+            PeerMessage::Streams(message) => {
+                if let Some(gateway) = &self.gateway {
+                    call!([gateway], handle_stream_message(from, message));
+                }
+            }
             PeerMessage::Limits(LimitMessage::Announce(announcement)) => {
                 if let Some(voter) = &self.voter {
                     call!([voter.relay], announce_limit(announcement));
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -12,6 +12,7 @@
 use crate::gateway::send_metrics::outcome_label;
 use crate::gateway::startup_queue::{QueuedRequest, StartupQueue};
 use crate::gateway::state_updates::LocalListReads;
+use crate::gateway::stream_origins::StreamMemory;
 use crate::gateway::submitted_orders::SubmittedOrders;
 use crate::gateway::waiting_orders::WaitingOrders;
 use crate::metrics::Metrics;
@@ -31,7 +32,8 @@
 use silversail_serving::batcher::{Batcher, CallId, CallOutcome, OrderKey};
 use silversail_serving::dispatcher::{Action, Dispatcher, RequestNumber};
 use silversail_serving::notices::BackendNotices;
-use silversail_serving::ports::Protocols;
+use silversail_serving::origin_lookup::{ALL_TIMEOUT, HOLDERS_TIMEOUT};
+use silversail_serving::ports::{CallAttributes, Protocols};
 use silversail_serving::quarantine::RequestQuarantine;
 use silversail_serving::retry_budget::RetryLimits;
 use stakker::{after, Actor, Fwd, CX};
@@ -103,6 +105,8 @@
     pub(super) started_at: Millis,
     /// Requests that wait for the first traffic configuration.
     pub(super) startup_queue: StartupQueue,
+    /// Where streams began.
+    pub(super) streams: StreamMemory,
     pub(super) submitted_orders: SubmittedOrders,
     /// Orders of this node whose service has no shard owner yet.
     pub(super) orders_without_owner: WaitingOrders<WorkId>,
@@ -173,6 +177,7 @@
             batcher: Batcher::new(policy, log).with_topology(setup.topology.clone()),
             started_at: setup.clock.millis(cx.now()),
             startup_queue: StartupQueue::default(),
+            streams: StreamMemory::default(),
             submitted_orders: SubmittedOrders::default(),
             orders_without_owner: WaitingOrders::default(),
             orders_without_backend: WaitingOrders::default(),
@@ -219,13 +224,15 @@
             || self.batcher.order_and_call_counts() != (0, 0)
             || !self.orders_without_backend.is_empty()
             || self.permit_issuer.has_waiting()
-            || !self.startup_queue.is_empty();
+            || !self.startup_queue.is_empty()
+            || self.streams.has_lookups();
         let interval = if is_busy { BUSY_TICK } else { IDLE_TICK };
         after!(interval, [cx], tick());
         let now = self.now(cx);
         self.renew_rollout_permit(now);
         self.report_evidence_if_due(now);
         self.dispatch_queued_requests(now);
+        self.expire_lookups(now);
         self.setup.notices.log_ended_backoffs(now);
         self.issue_permits(now);
         let expired = self.dispatcher.expire(now);
@@ -266,8 +273,15 @@
                 number,
                 call,
                 decisions,
-            } => self.handle_arrival(number, *call, decisions, now),
+            } => {
+                self.handle_arrival(number, *call, decisions, now);
+                if self.streams.has_lookups() {
+                    let end_of_holders = Duration::from_millis(HOLDERS_TIMEOUT);
+                    after!(end_of_holders, [cx], check_lookups());
+                }
+            }
             GatewayEvent::HeadReceived { number, load } => {
+                self.record_begun_stream(number, now);
                 let actions = self.dispatcher.head_received(number, load, now);
                 self.apply_actions(actions, now);
             }
@@ -286,6 +300,7 @@
             }
             GatewayEvent::CallerDisconnected { number } => {
                 self.startup_queue.remove(number);
+                self.streams.remove(number);
                 let actions = self.dispatcher.caller_disconnected(number, now);
                 self.apply_actions(actions, now);
                 self.finish_request(number, "caller_gone", now);
@@ -325,7 +340,7 @@
     pub(super) fn handle_arrival(
         &mut self,
         number: RequestNumber,
-        call: silversail_serving::ports::CallAttributes,
+        call: CallAttributes,
         decisions: mpsc::UnboundedSender<Decision>,
         now: Millis,
     ) {
@@ -342,11 +357,33 @@
         if call.forwarded.is_some() {
             self.count_forward("received");
         }
+        if let Some(call) = self.find_origin(number, call, now) {
+            self.admit(number, call, now, now);
+        }
+    }
+
+    fn check_lookups(&mut self, cx: CX![]) {
+        let now = self.now(cx);
+        self.expire_lookups(now);
+        if self.streams.has_lookups() {
+            let end_of_others = Duration::from_millis(ALL_TIMEOUT);
+            after!(end_of_others, [cx], check_lookups());
+        }
+    }
+
+    /// Dispatches a request that arrived at `arrived_at`, or queues it if there is no traffic
+    /// configuration yet.
+    pub(super) fn admit(
+        &mut self,
+        number: RequestNumber,
+        call: CallAttributes,
+        arrived_at: Millis,
+        now: Millis,
+    ) {
         let is_refusing = self.setup.state.borrow().refusing;
         let uptime = now.saturating_sub(self.started_at);
         let may_wait = !self.dispatcher.has_routes() && self.startup_queue.may_wait(uptime);
         if may_wait && !is_refusing {
-            let arrived_at = now;
             self.startup_queue.add(QueuedRequest {
                 number,
                 call,
@@ -357,7 +394,8 @@
         let actions = if is_refusing {
             self.dispatcher.refuse(number, &call, ResultCode::Stopping)
         } else {
-            self.dispatcher.handle_request(number, call, now)
+            self.dispatcher
+                .handle_delayed_request(number, call, arrived_at, now)
         };
         self.apply_actions(actions, now);
     }
@@ -374,6 +412,9 @@
             arrived_at,
         } in due
         {
+            let Some(call) = self.find_origin(number, call, now) else {
+                continue;
+            };
             let actions = self
                 .dispatcher
                 .handle_delayed_request(number, call, arrived_at, now);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod send_metrics;
 pub mod startup_queue;
 mod state_updates;
+mod stream_origins;
 pub mod submitted_orders;
 pub mod surface;
 mod surface_requests;
--- a/crates/daemon/src/gateway/state_updates.rs
+++ b/crates/daemon/src/gateway/state_updates.rs
@@ -11,6 +11,7 @@
 use silversail_peer::{BackendList, WorkId};
 use silversail_serving::forwarding::PeerNode;
 use silversail_serving::routes::RouteTable;
+use silversail_serving::stream_origins::HolderCandidate;
 use stakker::{call, CX};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -200,7 +201,7 @@
     }
 
     pub(super) fn apply_view(&mut self, now: Millis) {
-        let (version, names, peers) = {
+        let (version, names, peers, holder_candidates) = {
             let state = self.setup.state.borrow();
             if state.view_changes == self.applied_view_changes {
                 return;
@@ -210,13 +211,19 @@
             let names: BTreeSet<String> = nodes.map(|status| status.node.0.clone()).collect();
             let others = state.view.usable_nodes();
             let others = others.filter(|status| status.node != self.node);
+            let candidates = state.view.usable_nodes().map(|status| HolderCandidate {
+                node: status.node.clone(),
+                zone: status.zone.clone(),
+            });
+            let candidates: Vec<HolderCandidate> = candidates.collect();
             let peers = others.map(|status| PeerNode {
                 node: status.node.clone(),
                 address: status.caller_address.clone(),
                 zone: status.zone.clone(),
             });
-            (state.view.version, names, peers.collect())
+            (state.view.version, names, peers.collect(), candidates)
         };
+        self.streams.set_nodes(holder_candidates);
         self.dispatcher.set_peers(peers);
         self.dispatcher
             .set_nodes(self.node.as_str(), names.iter().cloned().collect());
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -37,6 +37,8 @@
     pub cut_off_from_backends: IntGauge,
     /// Sends of pass-through requests, by outcome.
     pub gateway_sends: IntCounterVec,
+    /// Streams whose beginnings this node remembers.
+    pub stream_origins: IntGauge,
     /// Answers of back ends, by how they ended.
     pub answer_ends: IntCounterVec,
     /// Requests and calls sent, by service and version of the back end.
@@ -245,6 +247,10 @@
                 "Sends of pass-through requests",
                 &["outcome"],
             ),
+            stream_origins: gauge(
+                "silversail_stream_origins",
+                "Streams whose beginnings this node remembers",
+            ),
             answer_ends: counter(
                 "silversail_answer_ends_total",
                 "Answers of back ends that were passed on",
--- a/crates/daemon/src/outbox.rs
+++ b/crates/daemon/src/outbox.rs
@@ -3,7 +3,6 @@
 use crate::metrics::Metrics;
 use silversail_model::topology::Distance;
 use silversail_model::{NodeName, Topology};
-use silversail_peer::message::PROTOCOL_VERSION;
 use silversail_peer::{Contact, Envelope, PeerMessage, SendResult, Transport};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -114,7 +113,7 @@
 
     fn wrap(&self, message: PeerMessage) -> Envelope {
         Envelope {
-            version: PROTOCOL_VERSION,
+            version: message.version(),
             cluster: self.cluster.clone(),
             from: self.node.clone(),
             incarnation: self.incarnation,
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -65,6 +65,21 @@
         /// Retry delay returned to the caller, in milliseconds.
         retry_after_ms: u64,
     },
+    /// A request takes up a stream.
+    StreamResumed {
+        /// Request identifier sent by the caller.
+        request: String,
+        /// Caller's attempt that began the stream; empty if the caller does not name it.
+        first_attempt: String,
+        /// Service at which it goes on.
+        service: String,
+        /// Software version at which it goes on; empty if that is not known.
+        version: String,
+        /// Where the version is known from: `own`, `peer`, `sole_version` or `none`.
+        source: String,
+        /// `goes_on`, or the reason of the rejection.
+        outcome: String,
+    },
     /// The pieces of a phase were submitted to the node that batches its service.
     PhaseSubmitted {
         /// Request identifier sent by the caller.
--- a/crates/model/src/codes.rs
+++ b/crates/model/src/codes.rs
@@ -142,6 +142,11 @@
     /// All eligible back ends are rate-limited, and no permit is available before the request's
     /// deadline.
     BackendsLimited = 2116, "backends_limited", 503, NotRun;
+    /// The request takes up a stream, and it is not known at which software version that began.
+    StreamOriginUnknown = 2117, "stream_origin_unknown", 503, NotRun;
+    /// The request takes up a stream, and no back end of its service has the software version that
+    /// began it any more.
+    StreamVersionGone = 2118, "stream_version_gone", 503, NotRun;
 
     /// No route matches the request's host and path.
     UnknownRoute = 2201, "unknown_route", 404, NotRun;
--- a/crates/model/src/traffic.rs
+++ b/crates/model/src/traffic.rs
@@ -33,6 +33,11 @@
         )
     }
 
+    /// Whether the response is a stream that another back end may go on with.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, RouteKind::Stream { resumable: true })
+    }
+
     /// Whether the response is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, RouteKind::Stream { .. })
--- a/crates/peer/src/kind.rs
+++ b/crates/peer/src/kind.rs
@@ -2,6 +2,7 @@
 
 use crate::discovery::DiscoveryMessage;
 use crate::message::{GroupMessage, PeerMessage, SessionMessage};
+use crate::streams::StreamMessage;
 use crate::work::WorkMessage;
 use silversail_limits::LimitMessage;
 
@@ -16,6 +17,8 @@
             PeerMessage::Limits(LimitMessage::Request(_)) => "permit_request",
             PeerMessage::Limits(LimitMessage::Grant(_)) => "permit_grant",
             PeerMessage::Limits(LimitMessage::Announce(_) | LimitMessage::Announced(_)) => "limit",
+            PeerMessage::Streams(StreamMessage::Began(_)) => "stream_began",
+            PeerMessage::Streams(_) => "stream_origin",
         }
     }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,6 +9,7 @@
 mod kind;
 pub mod message;
 pub mod peer_versions;
+pub mod streams;
 pub mod transport;
 pub mod version6;
 pub mod work;
@@ -22,6 +23,7 @@
     Envelope, FormationMessage, GroupId, GroupMessage, PeerMessage, ProposalResult,
     SessionHeartbeat, SessionMessage, SessionReply,
 };
+pub use streams::{BegunStream, SeenVersions, StreamKey, StreamMessage, StreamOrigin};
 pub use transport::{decode, encode, NngTransport, SendResult, Transport};
 pub use work::{
     PhaseWork, Piece, PieceFailure, PieceSource, ResultHandle, ShardWaitEstimates, WorkId,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,6 +3,7 @@
 use crate::backend_list::BackendListVersion;
 use crate::backend_list_update::BackendListUpdate;
 use crate::discovery::DiscoveryMessage;
+use crate::streams::StreamMessage;
 use crate::work::WorkMessage;
 use serde::{Deserialize, Serialize};
 use silversail_consensus::{JoinRequest, Message, Millis, ReplicaId, Snapshot};
@@ -17,6 +18,9 @@
 
 /// Version of the message format. Messages of version 6 are translated, those of others dropped.
 pub const PROTOCOL_VERSION: u8 = 9;
+/// Version that added [`PeerMessage::Streams`]. The other messages are the same as in version 9 and
+/// are sent in that, so that builds of version 9 read them; they drop those of this version.
+pub const STREAMS_VERSION: u8 = 10;
 
 /// A message with its sender and cluster.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -69,6 +73,18 @@
     Work(WorkMessage),
     /// A message about cluster-wide rate limits of back ends.
     Limits(LimitMessage),
+    /// A message about the beginnings of streams.
+    Streams(StreamMessage),
+}
+
+impl PeerMessage {
+    /// The lowest version that has this message.
+    pub fn version(&self) -> u8 {
+        match self {
+            PeerMessage::Streams(_) => STREAMS_VERSION,
+            _ => PROTOCOL_VERSION,
+        }
+    }
 }
 
 /// Messages of a replication group.
--- a/crates/serving/examples/back_end_count.rs
+++ b/crates/serving/examples/back_end_count.rs
@@ -105,6 +105,7 @@
     let selection = |affinity| {
         let request = SelectionRequest {
             versions: VersionChoice::Any,
+            version: None,
             service: "pool",
             topology: &topology,
             regions: &any_region,
--- a/crates/serving/examples/returns.rs
+++ b/crates/serving/examples/returns.rs
@@ -162,6 +162,7 @@
             let request = SelectionRequest {
                 service: "pool",
                 versions: VersionChoice::Any,
+                version: None,
                 topology: &self.topology,
                 regions: &regions,
                 region_affinity: RegionAffinity::Off,
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -14,6 +14,7 @@
 mod progress;
 mod regions;
 mod request;
+mod resuming;
 mod sending;
 
 use crate::forwarding::PeerTable;
@@ -124,7 +125,9 @@
 
     /// Applies a version of the list of back ends.
     pub fn apply_backend_list(&mut self, listed: &BackendListEntries, now: Millis) {
-        if self.instances.apply_list(listed) {
+        let is_changed = self.instances.apply_list(listed);
+        self.instances.record_version_history(now);
+        if is_changed {
             self.instances.hold_back_new_versions(now);
             self.instances.forget_removed(now);
         }
@@ -252,9 +255,17 @@
                 .prompt_popularity
                 .record(&request.call.prefix, speed, now);
         }
+        if let Err(code) = self.restrict_resumed(&mut request, now) {
+            self.requests.insert(number, request);
+            return self.give_up(number, code, now);
+        }
         let is_quarantined = self.quarantine.refuses(&request.fingerprint);
         let lacks_allowed_backends = self.lacks_allowed_backends(&request);
-        let retry_after_ms = self.admission.rejects(&request, now);
+        // The caller has a part of a resumed stream, and waited for it before.
+        let is_new = request.version.is_none();
+        let retry_after_ms = is_new
+            .then(|| self.admission.rejects(&request, now))
+            .flatten();
         let available_at = self.too_late_available_at(&request, now);
         self.admission.store_forecasts(&mut request, now);
         self.requests.insert(number, request);
@@ -315,6 +326,7 @@
         routes.route(call).map_err(|error| match error {
             RouteError::NoRoute => ResultCode::UnknownRoute,
             RouteError::UnknownKey => ResultCode::UnknownKey,
+            RouteError::OtherService => ResultCode::StreamVersionGone,
         })
     }
 
@@ -486,6 +498,7 @@
 fn retry_after(code: ResultCode) -> Option<u64> {
     match code {
         ResultCode::PhaseOverloaded => Some(RETRY_AFTER_OVERLOAD),
+        ResultCode::StreamVersionGone => None,
         code if code.http_status() == SERVICE_UNAVAILABLE => Some(RETRY_AFTER),
         _ => None,
     }
--- a/crates/serving/src/dispatcher/request.rs
+++ b/crates/serving/src/dispatcher/request.rs
@@ -39,6 +39,7 @@
 pub(super) struct ActiveSend {
     pub(super) instance: String,
     pub(super) service: String,
+    pub(super) version: String,
     pub(super) address: String,
     pub(super) began_at: Millis,
     /// How the send is counted for a rollout.
@@ -77,6 +78,8 @@
     pub(super) failed_with: Option<ResultCode>,
     /// Cost of the prompt prefix that it shares with other requests.
     pub(super) shared_prompt: SharedPrefixCost,
+    /// Software version to which it is restricted, as it takes up a stream.
+    pub(super) version: Option<String>,
 }
 
 impl ActiveRequest {
@@ -114,6 +117,7 @@
             waits_for: None,
             failed_with: None,
             shared_prompt: SharedPrefixCost::default(),
+            version: None,
         }
     }
 
@@ -152,10 +156,22 @@
         }
     }
 
-    /// Whether a back end is in an allowed region.
+    /// Whether a back end is in an allowed region, and of the version to which the request is
+    /// restricted.
     pub(super) fn allows(&self, instance: &Instance, topology: &Topology) -> bool {
         let region = topology.region_of(&instance.listed.zone);
-        self.resolved_route.regions.allows(region)
+        self.resolved_route.regions.allows(region) && self.allows_version(instance)
+    }
+
+    fn allows_version(&self, instance: &Instance) -> bool {
+        let is_of_service = instance.listed.service == self.resolved_route.service;
+        let version = self.version.as_ref().filter(|_| is_of_service);
+        version.is_none_or(|version| *version == instance.listed.version)
+    }
+
+    /// Whether its answer is a stream that callers may take up.
+    pub(super) fn is_resumable(&self) -> bool {
+        self.resolved_route.route.kind.is_resumable()
     }
 
     /// Services that the request needs.
@@ -356,6 +372,7 @@
         SelectionRequest {
             service: &self.resolved_route.service,
             versions: VersionChoice::Any,
+            version: self.version.as_deref(),
             topology,
             regions: &self.resolved_route.regions,
             region_affinity: self.policy.region_affinity,
--- a/crates/serving/src/dispatcher/sending.rs
+++ b/crates/serving/src/dispatcher/sending.rs
@@ -48,7 +48,11 @@
         let role = instance.role();
         let tokens = request.tokens();
         let route = &request.resolved_route.route.name;
-        let counted = self.rollouts.record_send(&plan.service, route, role);
+        // A resumed stream is no new exposure of its version.
+        let is_new = request.version.is_none();
+        let counted = is_new
+            .then(|| self.rollouts.record_send(&plan.service, route, role))
+            .flatten();
         self.instances.record_sent(&plan.instance, tokens, now);
         if let Some(request) = self.requests.get_mut(&number) {
             request.sends += 1;
@@ -58,6 +62,7 @@
             request.active_send = Some(ActiveSend {
                 instance: plan.instance.clone(),
                 service: plan.service.clone(),
+                version: plan.version.clone(),
                 address: plan.address.clone(),
                 began_at: now,
                 counted,
@@ -114,6 +119,9 @@
 
     /// Selects the versions for one send; each retry counts against the canary share again.
     fn versions_for(&self, request: &ActiveRequest) -> VersionChoice {
+        if request.version.is_some() {
+            return VersionChoice::Any;
+        }
         let resolved_route = &request.resolved_route;
         let hash = || send_hash(&request.call.id, request.sends);
         match self
--- a/crates/serving/src/instances.rs
+++ b/crates/serving/src/instances.rs
@@ -21,7 +21,7 @@
 use silversail_peer::BackendListEntries;
 use std::collections::{BTreeMap, BTreeSet};
 use store::{InstanceStore, SlotIndex};
-use versions::KnownVersions;
+use versions::{KnownVersions, VersionHistory};
 
 /// How long a back end is ejected after its first connection failure, in milliseconds; doubles
 /// with each further failure.
@@ -59,6 +59,7 @@
     evacuated: BTreeSet<String>,
     roles: VersionRoles,
     known_versions: KnownVersions,
+    version_history: VersionHistory,
     cold_senders: ColdSenders,
     notices: BackendNotices,
     resume_policy: ResumePolicy,
@@ -90,6 +91,7 @@
             evacuated: BTreeSet::new(),
             roles: VersionRoles::default(),
             known_versions: KnownVersions::default(),
+            version_history: VersionHistory::default(),
             cold_senders: ColdSenders::default(),
             log,
         }
--- a/crates/serving/src/instances/versions.rs
+++ b/crates/serving/src/instances/versions.rs
@@ -6,6 +6,7 @@
 use crate::rollouts::{VersionRole, VersionRoles};
 use crate::Millis;
 use silversail_decisions::Event;
+use silversail_peer::SeenVersions;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a new version beside known ones gets no requests while no rollout order names it, in
@@ -58,7 +59,59 @@
     }
 }
 
+/// Since when each service has had one version only.
+#[derive(Default)]
+pub(super) struct VersionHistory {
+    by_service: BTreeMap<String, SoleVersion>,
+}
+
+struct SoleVersion {
+    /// Whether the latest list has several versions.
+    is_several: bool,
+    /// Whether an earlier list had several.
+    was_several: bool,
+    since: Millis,
+}
+
 impl InstanceTable {
+    /// Records which services have several versions. Has to be called after each list.
+    pub fn record_version_history(&mut self, now: Millis) {
+        let services: Vec<String> = self.services().cloned().collect();
+        for service in services {
+            let is_several = self.versions_of(&service).nth(1).is_some();
+            let history = &mut self.version_history.by_service;
+            let known = history.entry(service).or_insert(SoleVersion {
+                is_several,
+                was_several: false,
+                since: now,
+            });
+            if known.is_several || is_several {
+                known.since = now;
+                known.was_several = true;
+            }
+            known.is_several = is_several;
+        }
+    }
+
+    /// Versions of a service that this node has seen in the last `period` milliseconds.
+    pub fn seen_versions(&self, service: &str, period: Millis, now: Millis) -> SeenVersions {
+        let Some(known) = self.version_history.by_service.get(service) else {
+            return SeenVersions::Unsettled;
+        };
+        let is_settled = now.saturating_sub(known.since) >= period;
+        match (known.is_several, self.versions_of(service).next()) {
+            (true, _) => SeenVersions::Several,
+            (false, Some(version)) if is_settled => SeenVersions::Sole(version.to_owned()),
+            (false, _) if known.was_several && !is_settled => SeenVersions::Several,
+            (false, _) => SeenVersions::Unsettled,
+        }
+    }
+
+    fn versions_of<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a str> {
+        let index = self.instances.service(service);
+        index.into_iter().flat_map(|index| index.versions())
+    }
+
     /// Sets the role of each version. Role changes of listed versions go into the decision log.
     pub fn set_version_roles(&mut self, roles: VersionRoles) {
         self.roles = roles;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod forwarding;
 pub mod instances;
 pub mod notices;
+pub mod origin_lookup;
 pub mod policy;
 pub mod popularity;
 pub mod ports;
@@ -34,6 +35,7 @@
 pub mod rollouts;
 pub mod routes;
 pub mod selection;
+pub mod stream_origins;
 pub mod waits;
 
 /// Milliseconds of a local monotonic clock; comparable in one process only.
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -3,7 +3,7 @@
 
 use http::{HeaderMap, Method, Uri};
 use silversail_model::{AdvertisedRateLimit, ContentDigest, ResultCode, TrafficConfiguration};
-pub use silversail_peer::BackendListEntry;
+pub use silversail_peer::{BackendListEntry, StreamOrigin};
 use silversail_peer::{Piece, PieceFailure, ResultHandle};
 pub use silversail_rollout::{Directive, Rollout, RolloutOrder, RolloutState, Verdict};
 use std::time::Duration;
@@ -17,6 +17,38 @@
     pub tokens: u32,
 }
 
+/// How this node knows where a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OriginSource {
+    /// It holds a record.
+    Own,
+    /// Another node holds one.
+    Peer,
+}
+
+/// Whether other nodes confirm that a service has had one version only.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum SoleVersionEvidence {
+    /// No other node has told so, or one disagrees.
+    #[default]
+    Unconfirmed,
+    /// Nodes have seen only this version, and none several.
+    Confirmed(String),
+    /// There is no other node.
+    NoPeers,
+}
+
+/// A stream that a request takes up.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ResumedStream {
+    /// The caller's attempt that brought its first event; none if the caller does not name it.
+    pub first_attempt: Option<String>,
+    /// Where it began, as far as this node has found out.
+    pub origin: Option<(StreamOrigin, OriginSource)>,
+    /// What other nodes say of the versions if it is not known.
+    pub sole_version: SoleVersionEvidence,
+}
+
 /// Attributes of a caller's request that routing uses.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CallAttributes {
@@ -46,6 +78,17 @@
     pub content: ContentDigest,
     /// If another node forwarded the request: number of its sends that may have run.
     pub forwarded: Option<u32>,
+    /// The stream that the request takes up; none for a new one.
+    pub resumed: Option<ResumedStream>,
+}
+
+impl CallAttributes {
+    /// Where the stream that the request takes up began, if that is known and it is a stream of
+    /// `tenant`: one tenant's streams are unknown to others.
+    pub fn origin_for(&self, tenant: &Option<String>) -> Option<(&StreamOrigin, OriginSource)> {
+        let (origin, source) = self.resumed.as_ref()?.origin.as_ref()?;
+        (origin.tenant == *tenant).then_some((origin, *source))
+    }
 }
 
 /// Reason why a caller's request cannot be parsed.
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -18,6 +18,9 @@
     /// The route requires an API key, and the request has none or an unknown one.
     #[error("the key is absent or unknown")]
     UnknownKey,
+    /// The request takes up a stream that began at a service which the route no longer uses.
+    #[error("the route does not use the service of the stream any more")]
+    OtherService,
 }
 
 /// Result of routing a request.
@@ -107,7 +110,8 @@
     ///
     /// # Errors
     ///
-    /// If no route matches, or the key that the route requires is missing or unknown.
+    /// If no route matches, the key that the route requires is missing or unknown, or the stream that
+    /// the request takes up began at another service.
     pub fn route(&self, call: &CallAttributes) -> Result<ResolvedRoute, RouteError> {
         let route = self
             .routes_of_host(&call.host)
@@ -116,12 +120,21 @@
         let owner = self.owner(call, route)?;
         let tenant_priority = owner.and_then(|owner| owner.priority);
         let tenant_regions = owner.and_then(|owner| owner.allowed_regions.as_ref());
+        let tenant = owner.map(|owner| owner.tenant.clone());
+        let origin = call
+            .origin_for(&tenant)
+            .filter(|_| route.kind.is_resumable());
+        let service = match origin {
+            Some((origin, _)) if uses(route, &origin.service) => origin.service.clone(),
+            Some(_) => return Err(RouteError::OtherService),
+            None => pick_target(&route.targets, &call.id).to_owned(),
+        };
         Ok(ResolvedRoute {
-            service: pick_target(&route.targets, &call.id).to_owned(),
+            service,
             priority: tenant_priority.unwrap_or(route.priority),
             regions: RegionFilter::intersection(route.allowed_regions.as_ref(), tenant_regions),
             route: route.clone(),
-            tenant: owner.map(|owner| owner.tenant.clone()),
+            tenant,
         })
     }
 
@@ -157,6 +170,12 @@
     }
 }
 
+/// Whether a route sends requests to a service.
+fn uses(route: &Route, service: &str) -> bool {
+    let mut targets = route.targets.iter();
+    targets.any(|target| target.service == service && target.weight > 0)
+}
+
 fn restricts_regions(traffic: &TrafficConfiguration) -> bool {
     let mut routes = traffic.routes.iter();
     let mut tenants = traffic.tenants.iter();
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -42,6 +42,8 @@
     pub service: &'a str,
     /// Versions that may get the request.
     pub versions: VersionChoice,
+    /// Software version to which the request is restricted.
+    pub version: Option<&'a str>,
     /// Location of this node, whose zone is preferred, and of all zones.
     pub topology: &'a Topology,
     /// Regions whose back ends may get the request.
@@ -66,7 +68,10 @@
     /// Whether the version and the region of a back end are allowed for the request.
     pub fn allows(&self, instance: &Instance) -> bool {
         let region = self.topology.region_of(&instance.listed.zone);
-        self.versions.admits(instance.role()) && self.regions.allows(region)
+        let is_of_version = self
+            .version
+            .is_none_or(|version| version == instance.listed.version);
+        is_of_version && self.versions.admits(instance.role()) && self.regions.allows(region)
     }
 }
 
--- a/crates/serving/tests/back_end_count.rs
+++ b/crates/serving/tests/back_end_count.rs
@@ -42,6 +42,7 @@
 fn request(affinity: Option<u64>, random_seed: u64) -> SelectionRequest<'static> {
     SelectionRequest {
         versions: VersionChoice::Any,
+        version: None,
         service: "pool",
         topology: &NO_REGIONS,
         regions: &ANY_REGION,
--- a/crates/serving/tests/cold.rs
+++ b/crates/serving/tests/cold.rs
@@ -44,6 +44,7 @@
     SelectionRequest {
         service: "pool",
         versions: VersionChoice::Any,
+        version: None,
         topology: &NO_REGIONS,
         regions: &ANY_REGION,
         region_affinity: RegionAffinity::Popular,
--- a/crates/serving/tests/regions.rs
+++ b/crates/serving/tests/regions.rs
@@ -51,6 +51,7 @@
 fn request(region_affinity: RegionAffinity) -> SelectionRequest<'static> {
     SelectionRequest {
         versions: VersionChoice::Any,
+        version: None,
         service: "pool",
         topology: &TWO_REGIONS,
         regions: &ANY_REGION,
--- a/crates/serving/tests/selection.rs
+++ b/crates/serving/tests/selection.rs
@@ -22,6 +22,7 @@
     SelectionRequest {
         service: "pool",
         versions: VersionChoice::Any,
+        version: None,
         topology: &NO_REGIONS,
         regions: &ANY_REGION,
         region_affinity: RegionAffinity::Popular,
