An answer that is known is sent by its deadline, though the ledger does not answer

Cause: a complete answer, and a failure at the deadline, wait until the ledger has recorded the outcome, up to 2 s, also after the deadline; a ledger group whose leader stops has none for that long. Both answers are correct whether or not they are recorded.

Change: such an answer is kept with the request and sent at the deadline at the latest; the record goes on. "Not run" still waits, as its promise needs the fence.

Evidence: requests.rs, ..._without_the_ledger: in two cases (complete, and failed at the deadline) the reply had its tokens and no outcome on the code before; both pass now, as do requests, at_most_once and stops.

--- a/crates/daemon/src/requests/accept.rs
+++ b/crates/daemon/src/requests/accept.rs
@@ -181,6 +181,7 @@
         called_at: now,
         call: None,
         may_have_run: false,
+        known_answer: None,
     }
 }
 
--- a/crates/daemon/src/requests/active.rs
+++ b/crates/daemon/src/requests/active.rs
@@ -1,10 +1,11 @@
 //! The state of an open request.
 
+use crate::requests::answer::ErrorBody;
 use serde_json::{Map, Value};
 use silversail_http::Responder;
 use silversail_ledger::RequestKey;
 use silversail_model::{
-    BackendName, Pipeline, RequestFingerprint, Stage, StageKind, StageName, TenantName,
+    BackendName, Pipeline, RequestFingerprint, ResultCode, Stage, StageKind, StageName, TenantName,
 };
 use silversail_routing::StageEstimate;
 use std::rc::Rc;
@@ -100,6 +101,19 @@
     pub tokens: u32,
 }
 
+/// An answer that is correct whether or not the ledger records it.
+pub enum KnownAnswer {
+    /// Body of a complete answer.
+    Completed(Vec<u8>),
+    /// Failure of a request that may have run.
+    Failed {
+        /// Its code.
+        code: ResultCode,
+        /// Its body.
+        body: ErrorBody,
+    },
+}
+
 /// The state of an open request.
 pub struct ActiveRequest {
     /// Number of the request, unique in its process.
@@ -156,6 +170,8 @@
     pub call: Option<CurrentCall>,
     /// Whether any stage call was sent that is not known to be unexecuted.
     pub may_have_run: bool,
+    /// The answer that waits for the ledger, and is sent at the deadline at the latest.
+    pub known_answer: Option<KnownAnswer>,
 }
 
 impl ActiveRequest {
--- a/crates/daemon/src/requests/finish.rs
+++ b/crates/daemon/src/requests/finish.rs
@@ -2,7 +2,7 @@
 //! caller gets it, so that a resend gets the same answer.
 
 use crate::replica::ProposalOutcome;
-use crate::requests::active::{ActiveRequest, RequestNumber, RequestPhase};
+use crate::requests::active::{ActiveRequest, KnownAnswer, RequestNumber, RequestPhase};
 use crate::requests::actor::RequestActor;
 use crate::requests::answer::{
     server_sent_event, CompletedBody, ErrorBody, StageAnswer, EVENT_STREAM_CONTENT_TYPE,
@@ -81,6 +81,9 @@
     /// Commits the outcome of a completed request to the ledger.
     fn record_completion(&mut self, cx: CX![], number: RequestNumber, recorded: RecordedOutcome) {
         let body = recorded.body.clone();
+        if let Some(request) = self.requests.get_mut(&number) {
+            request.known_answer = Some(KnownAnswer::Completed(body.clone()));
+        }
         let ret = ret_some_to!([cx], completion_recorded(number, body) as (ProposalOutcome));
         self.propose_finish(number, recorded, ret);
     }
@@ -93,11 +96,36 @@
         body: ErrorBody,
     ) {
         let code = recorded.code;
+        let now = cx.now();
+        let mut is_due = false;
+        if let Some(request) = self.requests.get_mut(&number) {
+            // "Not run" must be fenced first.
+            if code.outcome() != Outcome::NotRun {
+                let body = body.clone();
+                request.known_answer = Some(KnownAnswer::Failed { code, body });
+            }
+            is_due = request.deadline <= now;
+        }
         let ret = ret_some_to!(
             [cx],
             refusal_recorded(number, code, body) as (ProposalOutcome)
         );
         self.propose_finish(number, recorded, ret);
+        if is_due {
+            self.send_known_answer(cx, number);
+        }
+    }
+
+    /// Sends an answer that waits for the ledger, if it is correct without it. The record goes on.
+    pub(crate) fn send_known_answer(&mut self, cx: CX![], number: RequestNumber) {
+        let request = self.requests.get_mut(&number);
+        match request.and_then(|request| request.known_answer.take()) {
+            None => {}
+            Some(KnownAnswer::Completed(body)) => self.answer_completed(cx, number, body),
+            Some(KnownAnswer::Failed { code, body }) => {
+                self.answer_refusal(cx, number, code, body);
+            }
+        }
     }
 
     fn propose_finish(
--- a/crates/daemon/src/requests/outcome.rs
+++ b/crates/daemon/src/requests/outcome.rs
@@ -250,8 +250,10 @@
         };
         use crate::requests::active::RequestPhase;
         let (code, message) = match request.phase {
-            // The outcome is already known and is being recorded.
-            RequestPhase::RecordingOutcome => return,
+            RequestPhase::RecordingOutcome => {
+                self.send_known_answer(cx, number);
+                return;
+            }
             RequestPhase::WaitingForOtherCopy => (
                 ResultCode::RunningElsewhere,
                 "another copy with the same key did not complete before the deadline",
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -10,6 +10,7 @@
 use silversail_testbed::{check, CallOptions, ClusterOptions};
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::thread;
 use std::time::{Duration, Instant};
 
 fn start_three_nodes() -> Bench {
@@ -324,3 +325,40 @@
     // The cluster-wide limit is 3, so each of the 3 processes has a share of 1.
     assert_eq!((completed, refused), (3, 15), "{replies:?}");
 }
+
+/// The other processes are frozen while the generation runs, so that the ledger records no outcome.
+#[rstest]
+#[case::completed(150, "completed")]
+#[case::failed_at_its_deadline(2_000, "failed")]
+fn an_answer_that_is_known_reaches_its_caller_by_its_deadline_without_the_ledger(
+    #[case] max_tokens: u64,
+    #[case] outcome: &str,
+) {
+    let mut options = ClusterOptions::new(3, 3);
+    options.settings = json!({ "timing": { "ledger_timeout_ms": 20_000 } });
+    let bench = Bench::start(options);
+    let mut document = common::document(&bench.emulator);
+    document["pipelines"][0]["stages"][3]["max_tokens"] = json!(max_tokens);
+    let changed = bench.cluster.change(0, "longer", 1, document);
+    assert_eq!(changed.expect("an answer").0, 200);
+    assert!(bench.cluster.wait_for_revision(2));
+    let address = bench.addresses()[0];
+    let reply = thread::scope(|scope| {
+        let caller = bench.caller();
+        let sent = scope.spawn(move || {
+            let options = CallOptions {
+                stream: true,
+                ..call("chat", "without-ledger")
+            };
+            caller.send(address, &options)
+        });
+        thread::sleep(Duration::from_millis(300));
+        bench.cluster.freeze(1);
+        bench.cluster.freeze(2);
+        sent.join().expect("a reply")
+    });
+    bench.cluster.resume(1);
+    bench.cluster.resume(2);
+    assert!(!reply.tokens.is_empty(), "{reply:?}");
+    assert_eq!(reply.outcome(), Some(outcome), "{reply:?}");
+}
