--- a/crates/serving/src/dispatcher/resuming.rs
+++ b/crates/serving/src/dispatcher/resuming.rs
@@ -142,13 +142,3 @@
         })
     }
 }
-
-impl OriginSource {
-    /// Name in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            OriginSource::Own => "own",
-            OriginSource::Peer => "peer",
-        }
-    }
-}
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -26,6 +26,16 @@
     Peer,
 }
 
+impl OriginSource {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            OriginSource::Own => "own",
+            OriginSource::Peer => "peer",
+        }
+    }
+}
+
 /// Whether other nodes confirm that a service has had one version only.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum SoleVersionEvidence {
