--- a/crates/serving/src/dispatcher/resuming.rs
+++ b/crates/serving/src/dispatcher/resuming.rs
@@ -3,7 +3,7 @@
 
 use super::request::ActiveRequest;
 use super::{Dispatcher, RequestNumber};
-use crate::ports::{CallAttributes, OriginSource, SoleVersionEvidence};
+use crate::ports::{CallAttributes, SoleVersionEvidence};
 use crate::Millis;
 use silversail_decisions::Event;
 use silversail_model::{RequestFingerprint, ResultCode};
