Decision log: shared parts of prompts, and how far broken answers had come

Change: `admitted` lines name the shared parts of the prompt (all but the last, hashes as callers send them), `broke_off` lines tell for how long each answer had gone on. No decision reads either.

Conclusion: `admitted` and `broke_off` lines join by the request's identifier; a part that is at each crash can be counted with a script.

--- a/crates/daemon/src/gateway/crashes.rs
+++ b/crates/daemon/src/gateway/crashes.rs
@@ -4,7 +4,7 @@
 use crate::gateway::actor::GatewayActor;
 use silversail_consensus::Millis;
 use silversail_decisions::Event as LogEvent;
-use silversail_serving::crashes::{ConnectionLoss, Diagnosis, ProbeResult};
+use silversail_serving::crashes::{ConnectionLoss, Diagnosis, InterruptedSend, ProbeResult};
 use silversail_serving::dispatcher::{RequestNumber, SendOutcome};
 
 impl GatewayActor {
@@ -32,7 +32,13 @@
             cause: diagnosis.answer.cause().to_owned(),
             after_ms: now.saturating_sub(diagnosis.lost_at),
             requests: sends.clone().map(|send| send.request.clone()).collect(),
-            fingerprints: sends.map(|send| send.fingerprint.to_string()).collect(),
+            fingerprints: sends
+                .clone()
+                .map(|send| send.fingerprint.to_string())
+                .collect(),
+            answered_for_ms: sends
+                .map(|send| answered_for(send, diagnosis.lost_at))
+                .collect(),
         });
         self.crash_reporter.count_lost_connections(diagnosis);
         if diagnosis.answer == ProbeResult::Refused {
@@ -93,3 +99,9 @@
         self.handle_finished_orders(finished, now);
     }
 }
+
+/// Time for which the answer to a request had gone on, in milliseconds; none if it had not begun.
+fn answered_for(send: &InterruptedSend, lost_at: Millis) -> Option<Millis> {
+    let began_at = send.prompt.as_ref()?.answer_began_at?;
+    Some(lost_at.saturating_sub(began_at))
+}
--- a/crates/daemon/src/requests/crashes.rs
+++ b/crates/daemon/src/requests/crashes.rs
@@ -32,6 +32,7 @@
             sends: vec![InterruptedSend {
                 request: request.request_id.clone(),
                 fingerprint: request.fingerprint,
+                prompt: None,
             }],
         };
         match self.crashes.connection_lost(broken, now) {
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -42,6 +42,9 @@
         /// request.
         #[serde(default)]
         fingerprint: String,
+        /// Hashes of the prompt's parts that other requests may share.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        prompt_parts: Vec<String>,
         /// Whether another node forwarded the request.
         #[serde(default)]
         is_forwarded: bool,
@@ -301,6 +304,9 @@
         requests: Vec<String>,
         /// Fingerprints of the requests, as in their `admitted` events.
         fingerprints: Vec<String>,
+        /// Milliseconds since the first byte of each request's answer; none where none had come.
+        #[serde(default)]
+        answered_for_ms: Vec<Option<u64>>,
     },
     /// A request was forwarded to a peer node, as this node does not reach the back ends.
     Forwarded {
--- a/crates/decisions/tests/explain.rs
+++ b/crates/decisions/tests/explain.rs
@@ -23,6 +23,7 @@
         remaining_ms: 4_000,
         phases: 1,
         fingerprint: String::new(),
+        prompt_parts: Vec::new(),
         is_forwarded: false,
     }
 }
--- a/crates/decisions/tests/writer.rs
+++ b/crates/decisions/tests/writer.rs
@@ -78,6 +78,7 @@
         remaining_ms: 1,
         phases: 0,
         fingerprint: String::new(),
+        prompt_parts: Vec::new(),
         is_forwarded: false,
     }
 }
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -383,6 +383,7 @@
             Some(InterruptedSend {
                 request: piece.request.clone(),
                 fingerprint: order.work.fingerprint,
+                prompt: None,
             })
         });
         Some(ConnectionLoss {
--- a/crates/serving/src/crashes.rs
+++ b/crates/serving/src/crashes.rs
@@ -16,6 +16,18 @@
 /// that ends break together.
 const SAME_CRASH_WINDOW: Millis = 2_000;
 
+/// The prompt of an interrupted request, and how far its answer had come.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct InterruptedPrompt {
+    /// Tenant of the caller; none on routes that need no API key.
+    pub tenant: Option<String>,
+    /// Hashes of the parts that other requests may share.
+    pub shared_parts: Vec<u64>,
+    /// When the first byte of the answer arrived, in milliseconds of the local clock; none before
+    /// that.
+    pub answer_began_at: Option<Millis>,
+}
+
 /// A request that was interrupted by the loss of its connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct InterruptedSend {
@@ -23,6 +35,8 @@
     pub request: String,
     /// Fingerprint by which repetitions of the request are recognized.
     pub fingerprint: RequestFingerprint,
+    /// Its prompt; none for a request without one.
+    pub prompt: Option<InterruptedPrompt>,
 }
 
 /// The loss of a connection to a back end, with the affected requests.
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -22,7 +22,7 @@
 use crate::notices::BackendNotices;
 use crate::policy::Policy;
 use crate::popularity::PromptPopularity;
-use crate::ports::{CallAttributes, ReportedLoad};
+use crate::ports::{shared_parts, CallAttributes, ReportedLoad};
 use crate::quarantine::RequestQuarantine;
 use crate::reachability::ReachabilityMonitor;
 use crate::retry_budget::{RetryBudget, RetryLimits};
@@ -234,6 +234,9 @@
             remaining_ms: request.end.saturating_sub(now),
             phases: request.resolved_route.route.phases.len(),
             fingerprint: request.fingerprint.to_string(),
+            prompt_parts: shared_parts(&request.call.prefix)
+                .map(|part| format!("{part:x}"))
+                .collect(),
             is_forwarded: request.call.forwarded.is_some(),
         });
         if self.reachability.is_cut_off() {
--- a/crates/serving/src/dispatcher/request.rs
+++ b/crates/serving/src/dispatcher/request.rs
@@ -4,10 +4,10 @@
 use super::phases::PhaseSet;
 use super::Action;
 use crate::batcher::AnnouncedOrder;
-use crate::crashes::{ConnectionLoss, InterruptedSend};
+use crate::crashes::{ConnectionLoss, InterruptedPrompt, InterruptedSend};
 use crate::instances::{Instance, InstanceId, InstanceTable};
 use crate::policy::Policy;
-use crate::ports::{CallAttributes, SendAttributes};
+use crate::ports::{shared_parts, CallAttributes, SendAttributes};
 use crate::regions::{SharedPrefixCost, ZoneInputs};
 use crate::rollouts::{CountedSend, VersionChoice};
 use crate::routes::{ResolvedRoute, RouteTable};
@@ -135,10 +135,20 @@
             sends: vec![InterruptedSend {
                 request: self.call.id.clone(),
                 fingerprint: self.fingerprint,
+                prompt: self.interrupted_prompt(),
             }],
         }
     }
 
+    fn interrupted_prompt(&self) -> Option<InterruptedPrompt> {
+        let is_prompt = self.resolved_route.route.has_prefix;
+        is_prompt.then(|| InterruptedPrompt {
+            tenant: self.resolved_route.tenant.clone(),
+            shared_parts: shared_parts(&self.call.prefix).collect(),
+            answer_began_at: self.head_at,
+        })
+    }
+
     /// Whether the request is at an engine or a peer.
     pub(super) fn is_sent(&self) -> bool {
         self.active_send.is_some() || self.active_forward.is_some()
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -17,6 +17,13 @@
     pub tokens: u32,
 }
 
+/// Hashes of the parts of a prompt that other requests may share: all but the last part, which
+/// belongs to the request or its session.
+pub fn shared_parts(prompt: &[PrefixPart]) -> impl Iterator<Item = u64> + '_ {
+    let shared = prompt.len().saturating_sub(1);
+    prompt[..shared].iter().map(|part| part.id)
+}
+
 /// How this node knows where a stream began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OriginSource {
--- a/crates/serving/tests/crashes.rs
+++ b/crates/serving/tests/crashes.rs
@@ -12,6 +12,7 @@
     InterruptedSend {
         request: request.to_owned(),
         fingerprint: RequestFingerprint::of(None, &content),
+        prompt: None,
     }
 }
 
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -121,6 +121,7 @@
     let expected = vec![InterruptedSend {
         request: "r1".into(),
         fingerprint: fingerprint_of("/gate/x"),
+        prompt: None,
     }];
     assert_eq!(broken, [&expected]);
     dispatcher.handle_request(2, crashing_call("r2", "/gate/x"), 0);
