Evidence on attributes costs little, and a verdict comes soon after a leader dies

Change: the wait is 1.1 s, as relays forward new answers each 200 ms; crashes are checked against a list once a revision; groups without a crash in 20 s are not judged; what a relay told to watch lapses after 5 s.

--- a/crates/daemon/src/quarantine/attributes.rs
+++ b/crates/daemon/src/quarantine/attributes.rs
@@ -10,9 +10,9 @@
 use stakker::CX;
 use std::collections::BTreeSet;
 
-/// Time for which a new leader waits for reports of answers, in milliseconds: nodes repeat them each
-/// second, and relays forward them.
-const REPORT_WAIT: Millis = 2_000;
+/// Time for which a new leader waits for reports of answers, in milliseconds. Relays forward new
+/// answers each 200 ms, and repeat those that they know each second.
+const REPORT_WAIT: Millis = 1_100;
 
 impl QuarantineLeaderActor {
     /// Attributes that are to be refused by now.
--- a/crates/daemon/src/session/session_actor.rs
+++ b/crates/daemon/src/session/session_actor.rs
@@ -219,7 +219,7 @@
     pub fn watch_attributes(&mut self, cx: CX![], from: NodeName, watched: Vec<WatchedAttributes>) {
         let now = self.setup.clock.millis(cx.now());
         let mut state = self.setup.state.borrow_mut();
-        state.attribute_reporter.set_watched(watched);
+        state.attribute_reporter.set_watched(watched, now);
         drop(state);
         self.report_attributes(&[from], now);
     }
--- a/crates/quarantine/src/attributes/evidence.rs
+++ b/crates/quarantine/src/attributes/evidence.rs
@@ -5,7 +5,7 @@
     WatchedAttributes,
 };
 use super::{attribute_fingerprints, BackendGroup};
-use crate::list::QuarantineList;
+use crate::list::{QuarantineList, QuarantineRevision};
 use silversail_model::RequestAttribute;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -33,6 +33,8 @@
 const MAX_CRASHES: usize = 512;
 /// Maximum number of retained requests of one crash.
 const MAX_REQUESTS_PER_CRASH: usize = 256;
+/// Number of attributes of a group above which answers that concern no crash are forgotten.
+const MAX_ANSWERED: usize = 1_024;
 /// Maximum number of watched attributes; those of the fewest crashes are left out first.
 const MAX_WATCHED: usize = 128;
 
@@ -52,6 +54,8 @@
     first_reported_at: Millis,
     /// Whether a refused request or attribute explains the crash.
     is_explained: bool,
+    /// Revision of the list with which that was checked last; none if requests were added since.
+    checked_with: Option<QuarantineRevision>,
 }
 
 impl AttributeCrash {
@@ -126,6 +130,7 @@
                 reported_by: BTreeSet::new(),
                 first_reported_at: now,
                 is_explained: false,
+                checked_with: None,
             });
             self.crashes.len() - 1
         });
@@ -133,8 +138,9 @@
         crash.at = crash.at.min(at);
         crash.reported_by.insert(report.node.clone());
         for request in &report.requests {
-            if crash.requests.len() < MAX_REQUESTS_PER_CRASH {
-                crash.requests.insert(request.clone());
+            let has_room = crash.requests.len() < MAX_REQUESTS_PER_CRASH;
+            if has_room && crash.requests.insert(request.clone()) {
+                crash.checked_with = None;
             }
         }
     }
@@ -155,15 +161,31 @@
     pub fn update(&mut self, list: &QuarantineList, now: Millis) {
         self.crashes
             .retain(|crash| now.saturating_sub(crash.at) < CRASH_RETENTION);
-        for crash in &mut self.crashes {
+        let unchecked = self
+            .crashes
+            .iter_mut()
+            .filter(|crash| crash.checked_with != Some(list.revision));
+        for crash in unchecked {
             crash.is_explained = crash.is_explained || crash.is_explained_by(list);
+            crash.checked_with = Some(list.revision);
         }
+        self.forget_answers();
+    }
+
+    /// Forgets answers to requests without an attribute of a crash once there are many.
+    fn forget_answers(&mut self) {
         let crashes = &self.crashes;
         for (group, answers) in &mut self.answers {
+            if answers.by_attribute.len() <= MAX_ANSWERED {
+                continue;
+            }
             let of_group = crashes.iter().filter(|crash| crash.group == *group);
-            let of_group: Vec<&AttributeCrash> = of_group.collect();
+            let suspected: BTreeSet<RequestAttribute> = of_group
+                .flat_map(|crash| &crash.requests)
+                .flat_map(|request| request.attributes.iter().copied())
+                .collect();
             let answers = &mut answers.by_attribute;
-            answers.retain(|attribute, _| of_group.iter().any(|crash| crash.has(attribute)));
+            answers.retain(|attribute, _| suspected.contains(attribute));
         }
     }
 
@@ -178,7 +200,8 @@
         }
     }
 
-    /// Crashes that count at `now`, by group and in the order of their times.
+    /// Crashes that count at `now` in the order of their times, by group. Groups without a recent
+    /// crash are left out, as nothing but a crash adds evidence.
     pub(super) fn counted_crashes(
         &self,
         now: Millis,
@@ -191,6 +214,8 @@
         for crash in crashes.filter(|crash| !crash.is_explained) {
             by_group.entry(&crash.group).or_default().push(crash);
         }
+        let is_recent = |crash: &&AttributeCrash| now.saturating_sub(crash.at) < WATCH_DURATION;
+        by_group.retain(|_, crashes| crashes.iter().any(is_recent));
         for crashes in by_group.values_mut() {
             crashes.sort_by_key(|crash| crash.at);
         }
--- a/crates/quarantine/src/attributes/judgement.rs
+++ b/crates/quarantine/src/attributes/judgement.rs
@@ -36,6 +36,8 @@
     crashes: 12,
     moments: 6,
 };
+/// Crashes without which no evidence is sufficient.
+const MIN_CRASHES: usize = 3;
 /// Further moments that are required if no other request was answered since, as all back ends may
 /// have been lost.
 const MOMENTS_WITHOUT_COMPARISON: u64 = 3;
@@ -304,6 +306,9 @@
     let Some(first) = candidate.crashes.first() else {
         return false;
     };
+    if candidate.crashes.len() < MIN_CRASHES {
+        return false;
+    }
     let required = match candidate.was_answered {
         true => REQUIRED_ANSWERED_BEFORE,
         false => REQUIRED_UNANSWERED,
--- a/crates/quarantine/src/attributes/reporter.rs
+++ b/crates/quarantine/src/attributes/reporter.rs
@@ -13,6 +13,9 @@
 
 /// How long a crash is reported, in milliseconds: the longest election and three lost heartbeats.
 const REPORT_DURATION: Millis = 6_000;
+/// Time for which attributes are watched after a relay told so, in milliseconds; it repeats that each
+/// second.
+const WATCH_DURATION: Millis = 5_000;
 /// Minimum time between reports of answers, in milliseconds.
 const ANSWER_REPORT_INTERVAL: Millis = 200;
 /// Maximum number of crashes in a report; the oldest are dropped first.
@@ -43,6 +46,7 @@
     crashes: VecDeque<ObservedCrash>,
     answers: BTreeMap<BackendGroup, GroupAnswers>,
     watched: Vec<WatchedAttributes>,
+    watched_until: Millis,
     has_unreported_answers: bool,
     answers_reported_at: Millis,
 }
@@ -98,8 +102,9 @@
         forget_oldest(&mut answers.by_attribute);
     }
 
-    /// Replaces the attributes whose answers are reported.
-    pub fn set_watched(&mut self, watched: Vec<WatchedAttributes>) {
+    /// Replaces the attributes whose answers are reported for some seconds from `now` on.
+    pub fn set_watched(&mut self, watched: Vec<WatchedAttributes>, now: Millis) {
+        self.watched_until = now + WATCH_DURATION;
         self.watched = watched;
         self.has_unreported_answers = !self.watched.is_empty();
         self.answers_reported_at = 0;
@@ -113,6 +118,9 @@
 
     /// What to report at `now`; `node` is the name of this one.
     pub fn report(&mut self, node: &str, now: Millis) -> AttributeReport {
+        if now >= self.watched_until {
+            self.watched.clear();
+        }
         self.has_unreported_answers = false;
         self.answers_reported_at = now;
         AttributeReport {
--- a/crates/quarantine/tests/attribute_seeds.rs
+++ b/crates/quarantine/tests/attribute_seeds.rs
@@ -379,7 +379,7 @@
         for (_, delivery) in arrived {
             match delivery {
                 Delivery::Report(report) => self.evidence.record_report(&report, now),
-                Delivery::Watch(node, watched) => self.reporters[node].set_watched(watched),
+                Delivery::Watch(node, watched) => self.reporters[node].set_watched(watched, now),
                 Delivery::List(node, list) if list.revision > self.lists[node].revision => {
                     self.lists[node] = list;
                 }
--- a/crates/quarantine/tests/attributes.rs
+++ b/crates/quarantine/tests/attributes.rs
@@ -79,6 +79,7 @@
         for verdict in &verdicts {
             self.judge.record_refused(verdict);
             self.list.refused.insert(verdict.fingerprint());
+            self.list.revision += 1;
         }
         let refused = verdicts.into_iter();
         refused
@@ -250,11 +251,16 @@
     assert!(!reporter.is_answer_report_due(2_000), "nothing is watched");
     let mut case = Case::default();
     case.crash(1_800, "e1", &[("t1", &[POPULAR, GUILTY])]);
-    reporter.set_watched(case.evidence.watched(1_900));
+    reporter.set_watched(case.evidence.watched(1_900), 1_900);
     assert!(reporter.is_answer_report_due(2_000));
     let report = reporter.report("n1", 2_000);
     assert_eq!(report.answers.len(), 1);
     assert_eq!(report.answers[0].age_ms, 500);
     assert_eq!(report.answers[0].attributes, [(POPULAR, 500)]);
     assert!(!reporter.is_answer_report_due(2_500), "no news");
+    assert_eq!(
+        reporter.report("n1", 6_900).answers,
+        [],
+        "no relay repeats it"
+    );
 }
