A pipeline's generation that is cut inside an event is resumed

Cause: the stream was read by lines, and the last line was taken for a whole one though its end was missing: cut JSON is malformed, and a cut end mark none.

Change: a line without its end is the end of the connection. An end mark without an end of line stays an end mark, a whole line that can't be read a protocol error, as before.

Conclusion: where a stream is cut no longer decides whether it goes on.

--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -186,20 +186,21 @@
     call: &StageCall,
     progress: &mut StreamProgress<'_>,
 ) -> Result<StreamEnd, CallFailure> {
-    let reader = BufReader::new(response.into_reader());
-    for line in reader.lines() {
+    let mut reader = BufReader::new(response.into_reader());
+    let mut line = String::new();
+    loop {
         if call.is_cancelled() {
             return Err(CallFailure::Cancelled);
         }
-        let line = match line {
-            Ok(line) => line,
+        line.clear();
+        match reader.read_line(&mut line) {
+            Ok(0) => break,
+            Ok(_) => {}
             Err(_) if call.remaining().is_zero() => return Err(CallFailure::DeadlineExceeded),
             Err(error) => return Ok(StreamEnd::Interrupted(error.to_string())),
-        };
-        let Some(data) = line.strip_prefix(DATA_FIELD) else {
-            continue;
-        };
-        if data.trim() == END_MARKER {
+        }
+        let data = line.strip_prefix(DATA_FIELD).map(str::trim);
+        if data == Some(END_MARKER) {
             // The stream is complete only if the last token preceded the end marker.
             return match progress.is_finished {
                 true => Ok(StreamEnd::Complete),
@@ -208,7 +209,14 @@
                 )),
             };
         }
-        apply_event(data, call, progress)?;
+        if !line.ends_with('\n') {
+            return Ok(StreamEnd::Interrupted(
+                "connection closed inside an event".into(),
+            ));
+        }
+        if let Some(data) = data {
+            apply_event(data, call, progress)?;
+        }
     }
     Ok(StreamEnd::Interrupted(
         "connection closed before the end marker".into(),
