--- a/crates/quarantine/tests/attributes.rs
+++ b/crates/quarantine/tests/attributes.rs
@@ -264,3 +264,16 @@
         "no relay repeats it"
     );
 }
+
+/// Answers are known only once they are whole or have gone on, and were reported.
+#[test]
+fn crashes_in_quick_succession_wait_for_answers_that_began_after_them() {
+    let mut case = Case::default();
+    for (number, at) in [1_000, 1_400, 1_800].into_iter().enumerate() {
+        case.crash(at, &format!("e{number}"), &[("t1", &[POPULAR])]);
+        case.answer(at + 100, &[OTHER]);
+    }
+    assert_eq!(case.refused(2_100), []);
+    case.answer(2_900, &[POPULAR]);
+    assert_eq!(case.refused(3_100), []);
+}
