One name for the table of crashes and for the trigger of heartbeats

Cause: the table of crashes was `sightings` in the actors and `crash_table` in the relay, its reports `sighting`; the trigger of heartbeats had two names in two packages.

Change: names only; the shape of the code is the same. Tests of control and peer pass.

Conclusion: one thing, one name in daemon, control and peer.

--- a/crates/control/src/crash_table.rs
+++ b/crates/control/src/crash_table.rs
@@ -52,10 +52,10 @@
     /// Records the crashes and completed requests of a heartbeat.
     pub fn record_report(&mut self, report: &NodeReport, now: Millis) {
         self.completed_requests.extend(&report.completed_requests);
-        for sighting in &report.crashes {
-            let crashed_at = now.saturating_sub(sighting.age_ms);
-            let crash = self.find_or_insert_crash(&sighting.backend, crashed_at, now);
-            crash.fingerprints.extend(&sighting.fingerprints);
+        for reported in &report.crashes {
+            let crashed_at = now.saturating_sub(reported.age_ms);
+            let crash = self.find_or_insert_crash(&reported.backend, crashed_at, now);
+            crash.fingerprints.extend(&reported.fingerprints);
             crash.reported_by.insert(report.node.clone());
         }
     }
--- a/crates/daemon/src/actors.rs
+++ b/crates/daemon/src/actors.rs
@@ -117,7 +117,7 @@
     relay: ActorOwn<RelayActor>,
     /// Evidence on rollouts that nodes reported, while this node leads.
     pub evidence: SharedEvidence,
-    sightings: SharedCrashTable,
+    crash_table: SharedCrashTable,
     attribute_evidence: SharedAttributeEvidence,
     control_state: Rc<RefCell<ControlState>>,
 }
--- a/crates/daemon/src/actors/builder.rs
+++ b/crates/daemon/src/actors/builder.rs
@@ -75,14 +75,14 @@
         let gateway = self.gateway(&control_proposer, operators, relay);
         let session = self.session(requests.as_ref(), gateway.as_ref(), rollout.as_ref());
         if let Some(gateway) = &gateway {
-            let tell_at_once = fwd_to!([session], report_crash() as ());
-            call!([gateway], set_heartbeat_trigger(tell_at_once));
+            let heartbeat_trigger = fwd_to!([session], report_crash() as ());
+            call!([gateway], set_heartbeat_trigger(heartbeat_trigger));
             let report_answers = fwd_to!([session], report_answers() as ());
             call!([gateway], set_answer_report_trigger(report_answers));
         }
         if let Some(requests) = &requests {
-            let tell_at_once = fwd_to!([session], report_crash() as ());
-            call!([requests], set_heartbeat_trigger(tell_at_once));
+            let heartbeat_trigger = fwd_to!([session], report_crash() as ());
+            call!([requests], set_heartbeat_trigger(heartbeat_trigger));
         }
         let rollout_leader = voter
             .as_ref()
@@ -122,7 +122,7 @@
         let settings = self.context.settings.clone();
         let machine = Rc::new(RefCell::new(ControlState::default()));
         let evidence = SharedEvidence::default();
-        let sightings = SharedCrashTable::default();
+        let crash_table = SharedCrashTable::default();
         let attribute_evidence = SharedAttributeEvidence::default();
         let setup = RelaySetup {
             directory: self.context.directory.clone(),
@@ -133,7 +133,7 @@
             node_lease: settings.timing.node_lease_ms,
             backend_list_lease: settings.backend_list_lease(),
             evidence: evidence.clone(),
-            crash_table: sightings.clone(),
+            crash_table: crash_table.clone(),
             attribute_evidence: attribute_evidence.clone(),
             clock: self.context.clock,
         };
@@ -151,7 +151,7 @@
             ledgers,
             relay,
             evidence,
-            sightings,
+            crash_table,
             attribute_evidence,
             control_state: machine,
         })
@@ -293,7 +293,7 @@
         let setup = QuarantineLeaderSetup {
             control_state: voter.control_state.clone(),
             status,
-            sightings: voter.sightings.clone(),
+            crash_table: voter.crash_table.clone(),
             attribute_evidence: voter.attribute_evidence.clone(),
             proposer: (**proposer).clone(),
             limits: context.settings.quarantine,
--- a/crates/daemon/src/quarantine/leader.rs
+++ b/crates/daemon/src/quarantine/leader.rs
@@ -33,7 +33,7 @@
     /// Status of this node's replica of the control group.
     pub status: SharedGroupStatus,
     /// Crashes and completed requests that nodes reported.
-    pub sightings: SharedCrashTable,
+    pub crash_table: SharedCrashTable,
     /// Attributes of requests that crashes interrupted or that were answered.
     pub attribute_evidence: SharedAttributeEvidence,
     /// Proposes commands to the control group.
@@ -93,7 +93,11 @@
             self.commit_verdicts(cx, verdicts);
             return;
         }
-        let completed_requests = self.setup.sightings.borrow_mut().take_completed_requests();
+        let completed_requests = self
+            .setup
+            .crash_table
+            .borrow_mut()
+            .take_completed_requests();
         if !completed_requests.is_empty() {
             let command = QuarantineCommand::RecordSuccesses {
                 fingerprints: completed_requests.into_iter().collect(),
@@ -102,7 +106,7 @@
             self.commit(cx, command, PendingCommit::default());
             return;
         }
-        let uncommitted_crashes = self.setup.sightings.borrow_mut().uncommitted(now);
+        let uncommitted_crashes = self.setup.crash_table.borrow_mut().uncommitted(now);
         if !uncommitted_crashes.is_empty() {
             let crashes = uncommitted_crashes
                 .iter()
@@ -166,7 +170,7 @@
             return;
         };
         for crash in &commit.crashes {
-            self.setup.sightings.borrow_mut().mark_committed(crash);
+            self.setup.crash_table.borrow_mut().mark_committed(crash);
             self.record_crash(crash);
         }
         self.record_attribute_verdicts(&commit.verdicts, &refused);
--- a/crates/daemon/src/requests/crashes.rs
+++ b/crates/daemon/src/requests/crashes.rs
@@ -10,8 +10,8 @@
 
 impl RequestActor {
     /// Sets the trigger that sends a heartbeat at once, so that crashes are reported without delay.
-    pub fn set_heartbeat_trigger(&mut self, _: CX![], tell_at_once: Fwd<()>) {
-        self.crashes.set_heartbeat_trigger(tell_at_once);
+    pub fn set_heartbeat_trigger(&mut self, _: CX![], heartbeat_trigger: Fwd<()>) {
+        self.crashes.set_heartbeat_trigger(heartbeat_trigger);
     }
 
     /// Whether the request is quarantined because it crashes back ends.
--- a/crates/peer/tests/crash_messages.rs
+++ b/crates/peer/tests/crash_messages.rs
@@ -19,12 +19,12 @@
 /// Report of a crashed engine with 32 streams, all from one node.
 #[test]
 fn a_crash_report_of_32_requests_has_under_600_bytes() {
-    let sighting = CrashReport {
+    let report = CrashReport {
         backend: "i-7f3a91c2@1700000000000".into(),
         age_ms: 6_000,
         fingerprints: fingerprints(32).collect(),
     };
-    let bytes = encoded_size(&sighting);
+    let bytes = encoded_size(&report);
     assert!((32 * 16..600).contains(&bytes), "{bytes} bytes");
 }
 
