--- a/crates/quarantine/tests/attribute_seeds.rs
+++ b/crates/quarantine/tests/attribute_seeds.rs
@@ -512,9 +512,19 @@
     assert_refused_in_time(guilty, 0..seeds());
 }
 
+#[rstest]
+#[case::that_was_sound(Guilty { parts: 1, share: 10, was_sound: true, ..SOUND }, &[10_137, 10_300])]
+#[case::beside_racks(Guilty { parts: 1, share: 10, loss: Loss::Rack, ..SOUND }, &[10_250])]
+fn one_guilty_part_of_a_rare_play_is_refused_in_time(
+    #[case] guilty: Guilty,
+    #[case] seeds: &[u64],
+) {
+    assert_refused_in_time(guilty, seeds.iter().copied());
+}
+
 /// So many crashes that nearly all engines are down at times.
 #[rstest]
-#[case::calm(Guilty { parts: 3, share: 30, ..SOUND }, &[352])]
+#[case::calm(Guilty { parts: 3, share: 30, ..SOUND }, &[352, 10_039, 10_275, 10_294])]
 #[case::beside_zones(Guilty { parts: 3, share: 15, loss: Loss::Zone, ..SOUND }, &[125, 332, 396])]
 fn three_guilty_parts_that_take_most_engines_down_are_refused_in_time(
     #[case] guilty: Guilty,
