Review case 2: a request begins with the result of another request's stage

A stage engine sends the answer to a call a second time where the answer to the next call is due. The batching node takes it for the next one's, so that the model engine reads another request's result and the client gets a whole answer made of it; the answers after it are taken one call too late as well.

Cause: calls to stages carry no identifier, and answers to them are matched by the number of items.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,7 +6,9 @@
 mod engine;
 mod fleet;
 mod http;
+mod json;
 mod list;
+mod mixed;
 mod record;
 mod twice;
 
@@ -54,6 +56,7 @@
     record.add(format!("case {case}, {with} the disruption"));
     let outcome = match case.as_str() {
         "twice" => twice::run(&setup, &record),
+        "mixed" => mixed::run(&setup, &record),
         _ => Ok(Outcome::NotRun("no such case")),
     };
     let (line, code) = match outcome {
