--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 //! `standin CASE FOLDER RECORD TROUBLE`: FOLDER is a temporary folder, RECORD the file that gets what
 //! was sent, answered and run. Without the disruption if TROUBLE is 0.
 
+mod cut;
 mod engine;
 mod fleet;
 mod http;
@@ -47,6 +48,12 @@
         eprintln!("standin CASE FOLDER RECORD TROUBLE");
         return ExitCode::from(2);
     };
+    if case == "engine" {
+        return match cut::serve_engine(folder) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(_) => ExitCode::from(2),
+        };
+    }
     let setup = Setup {
         folder: PathBuf::from(folder),
         is_troubled: trouble != "0",
@@ -57,6 +64,7 @@
     let outcome = match case.as_str() {
         "twice" => twice::run(&setup, &record),
         "mixed" => mixed::run(&setup, &record),
+        "cut" => cut::run(&setup, &record),
         _ => Ok(Outcome::NotRun("no such case")),
     };
     let (line, code) = match outcome {
