Decision log: whose id an answer names, and what its connection carried before

No line told whose id an answer named, whether its connection had been used before, nor what the exchange before on it was. Two causes of a false "not run" (a surplus answer of another attempt, a wrong last word of this node) could not be told apart.

The decision log has answer_checked for each answer that does not name its request or says that it was not run, silversail_answer_identities_total counts all heads. Connections know how many requests they carried and the last one. No behaviour changes.

--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -2,6 +2,7 @@
 //! The backend list is read in [`super::list_fetch`].
 
 use crate::event::{Event, EventSender};
+use crate::gateway::answer_monitor::{AnswerMonitor, Exchange};
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::notices::{NoticeRecorder, SendPermit};
 use bytes::Bytes;
@@ -121,6 +122,8 @@
     pub protocols: Protocols,
     /// Records what back ends report about themselves.
     pub notice_recorder: NoticeRecorder,
+    /// Records answers that do not name their call.
+    pub answer_monitor: AnswerMonitor,
     /// Channel to the gateway actor, for outcomes of calls.
     pub events: EventSender,
     /// Publishes the limits for callers to the HTTP service.
@@ -263,7 +266,7 @@
         };
         let request = build_request(address, &call);
         permit.iter_mut().for_each(SendPermit::spend);
-        let response = match connection.send(request).await {
+        let response = match connection.send(request, "").await {
             Ok(response) => response,
             Err(silversail_http::SendError::NotSent(_)) => {
                 permit.iter_mut().for_each(SendPermit::unspend);
@@ -277,7 +280,7 @@
                     }
                 };
                 permit.iter_mut().for_each(SendPermit::spend);
-                let response = connection.send(build_request(address, &call)).await;
+                let response = connection.send(build_request(address, &call), "").await;
                 response.map_err(|error| CallError::NoAnswer(error.to_string()))?
             }
             Err(error) => return Err(CallError::NoAnswer(error.to_string())),
@@ -289,6 +292,13 @@
             .requests
             .read_answer(status, response.headers(), "");
         if let CallTarget::Backend { instance, path, .. } = target {
+            let exchange = Exchange {
+                id: "",
+                backend: instance,
+                path: path.name(),
+            };
+            self.answer_monitor
+                .record(&exchange, &connection, status, &head);
             let answer = AnswerContext {
                 path: *path,
                 permit: permit.as_ref().and_then(SendPermit::serial),
--- a/crates/daemon/src/gateway/forwarding.rs
+++ b/crates/daemon/src/gateway/forwarding.rs
@@ -4,6 +4,7 @@
 //! privilege depends on the header that marks it: a caller that sets it only forgoes forwarding.
 
 use crate::clock;
+use crate::gateway::answer_monitor::Exchange;
 use crate::gateway::calls::CONNECT_TIMEOUT;
 use crate::gateway::request_sender::{
     is_long, reuse_after_refusal, until_deadline, with_headers, FailedSend, ReceivedAnswer,
@@ -45,11 +46,18 @@
     ) -> SendResult {
         let deadline = clock::to_monotonic(self.clock.instant(plan.end));
         let forwarding = async {
-            let (mut connection, response) = self.forward_until_head(request, plan).await?;
+            let (mut connection, response) = self.forward_until_head(request, id, plan).await?;
             connection.apply_keep_alive(response.headers());
             let status = response.status().as_u16();
             let protocol = &self.protocols.requests;
             let head = protocol.read_answer(status, response.headers(), id);
+            let exchange = Exchange {
+                id,
+                backend: plan.node.as_str(),
+                path: "forward",
+            };
+            self.answer_monitor
+                .record(&exchange, &connection, status, &head);
             let is_success = (200..300).contains(&status);
             if !head.matches_request || (is_success && !head.is_signed) {
                 return Err(SendOutcome::Unknown(UnknownReason::Garbled).into());
@@ -76,10 +84,12 @@
     async fn forward_until_head(
         &self,
         request: &IncomingRequest,
+        id: &str,
         plan: &ForwardPlan,
     ) -> Result<(Connection, Response<Incoming>), FailedSend> {
         if let Some(mut connection) = self.pool.take_idle(&plan.address) {
-            match connection.send(self.forwarded_request(request, plan)).await {
+            let outgoing = self.forwarded_request(request, plan);
+            match connection.send(outgoing, id).await {
                 Ok(response) => return Ok((connection, response)),
                 // The peer had closed the idle connection before the request was sent.
                 Err(SendError::NotSent(_)) => {}
@@ -91,7 +101,8 @@
         let unreachable = || FailedSend::from(SendOutcome::NotRun(NotRunReason::Unreachable));
         let connecting = self.pool.connect(&plan.address, CONNECT_TIMEOUT);
         let mut connection = connecting.await.map_err(|_| unreachable())?;
-        match connection.send(self.forwarded_request(request, plan)).await {
+        let outgoing = self.forwarded_request(request, plan);
+        match connection.send(outgoing, id).await {
             Ok(response) => Ok((connection, response)),
             Err(SendError::NotSent(_)) => Err(unreachable()),
             Err(SendError::NoAnswer(_)) => Err(SendOutcome::Unknown(UnknownReason::Broken).into()),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod actor;
 pub mod allowed_locations;
+pub mod answer_monitor;
 mod batching;
 pub mod callers;
 pub mod calls;
--- a/crates/daemon/src/gateway/request_sender.rs
+++ b/crates/daemon/src/gateway/request_sender.rs
@@ -1,6 +1,7 @@
 //! One send of a caller's request to a back end, and its answer.
 
 use crate::clock::{self, Clock};
+use crate::gateway::answer_monitor::{AnswerMonitor, Exchange};
 use crate::gateway::calls::CONNECT_TIMEOUT;
 use crate::gateway::forwarding::FORWARDED;
 use crate::gateway::notices::NoticeRecorder;
@@ -80,6 +81,8 @@
     pub clock: Clock,
     /// Records what back ends report about themselves.
     pub notice_recorder: NoticeRecorder,
+    /// Records answers that do not name their request.
+    pub answer_monitor: AnswerMonitor,
 }
 
 /// Callbacks for the progress of a streamed answer.
@@ -113,13 +116,20 @@
         callbacks: StreamCallbacks,
         deadline: Instant,
     ) -> Result<SendResult, FailedSend> {
-        let (mut connection, response, permit) = self.send_until_head(request, plan).await?;
+        let (mut connection, response, permit) = self.send_until_head(request, id, plan).await?;
         connection.apply_keep_alive(response.headers());
         let status = response.status().as_u16();
         let head = self
             .protocols
             .requests
             .read_answer(status, response.headers(), id);
+        let exchange = Exchange {
+            id,
+            backend: &plan.instance,
+            path: ExchangeKind::Request.name(),
+        };
+        self.answer_monitor
+            .record(&exchange, &connection, status, &head);
         let answer = AnswerContext {
             path: ExchangeKind::Request,
             permit,
@@ -163,6 +173,7 @@
     async fn send_until_head(
         &self,
         request: &IncomingRequest,
+        id: &str,
         plan: &SendPlan,
     ) -> Result<(Connection, Response<Incoming>, Option<Serial>), FailedSend> {
         let mut permit = self
@@ -170,7 +181,8 @@
             .admit(&plan.instance, ExchangeKind::Request)?;
         if let Some(mut connection) = self.pool.take_idle(&plan.address) {
             permit.spend();
-            match connection.send(self.build_request(request, plan)).await {
+            let outgoing = self.build_request(request, plan);
+            match connection.send(outgoing, id).await {
                 Ok(response) => return Ok((connection, response, permit.serial())),
                 // The back end had closed the idle connection before the request was sent.
                 Err(SendError::NotSent(_)) => permit.unspend(),
@@ -191,7 +203,8 @@
             }
         };
         permit.spend();
-        match connection.send(self.build_request(request, plan)).await {
+        let outgoing = self.build_request(request, plan);
+        match connection.send(outgoing, id).await {
             Ok(response) => Ok((connection, response, permit.serial())),
             Err(SendError::NotSent(_)) => {
                 permit.unspend();
--- a/crates/daemon/src/gateway/runtime.rs
+++ b/crates/daemon/src/gateway/runtime.rs
@@ -1,6 +1,7 @@
 //! Tokio runtime of the gateway, with its HTTP servers and its calls to back ends.
 
 use crate::event::EventSender;
+use crate::gateway::answer_monitor::AnswerMonitor;
 use crate::gateway::callers::CallerService;
 use crate::gateway::calls::RuntimeCalls;
 use crate::gateway::notices::NoticeRecorder;
@@ -30,6 +31,7 @@
         protocols: &Protocols,
         events: &EventSender,
         notice_recorder: NoticeRecorder,
+        answer_monitor: AnswerMonitor,
     ) -> io::Result<Self> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
@@ -44,6 +46,7 @@
             pool: ConnectionPool::new(),
             protocols: protocols.clone(),
             notice_recorder: notice_recorder.clone(),
+            answer_monitor: answer_monitor.clone(),
             events: events.clone(),
             limits: Arc::new(limits),
             is_list_reader: Arc::new(watch::channel(false).0),
@@ -55,6 +58,7 @@
                 protocols: protocols.clone(),
                 clock: notice_recorder.clock,
                 notice_recorder,
+                answer_monitor,
             },
             next_number: Arc::new(AtomicU64::new(1)),
             limits: limits_receiver,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -41,6 +41,8 @@
     pub stream_origins: IntGauge,
     /// Answers of back ends, by how they ended.
     pub answer_ends: IntCounterVec,
+    /// Heads of answers, by the identifier that they name and the kind of exchange.
+    pub answer_identities: IntCounterVec,
     /// Requests and calls sent, by service and version of the back end.
     pub version_sends: IntCounterVec,
     /// Requests and calls that the back end failed, by service and version.
@@ -256,6 +258,11 @@
                 "Answers of back ends that were passed on",
                 &["end"],
             ),
+            answer_identities: counter(
+                "silversail_answer_identities_total",
+                "Heads of answers, by whether they name the request they were read for",
+                &["echoed", "path"],
+            ),
             version_sends: counter(
                 "silversail_version_sends_total",
                 "Requests and batch calls sent to back ends",
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -5,6 +5,7 @@
 use crate::calls::{CallThreadPool, OrderSender, StageCalls};
 use crate::clock::{self, wall_clock_ms, Clock, SuspensionMonitor};
 use crate::event::{Event, EventSender};
+use crate::gateway::answer_monitor::AnswerMonitor;
 use crate::gateway::calls::RuntimeCalls;
 use crate::gateway::notices::NoticeRecorder;
 use crate::gateway::runtime::GatewayRuntime;
@@ -70,7 +71,12 @@
     let gateway = match &settings.gateway {
         Some(gateway) => {
             let listener = listener(notices.clone());
-            let started = start_gateway(gateway, &parts.protocols, &events, listener)?;
+            let answer_monitor = AnswerMonitor {
+                log: log.clone(),
+                metrics: metrics.clone(),
+            };
+            let protocols = &parts.protocols;
+            let started = start_gateway(gateway, protocols, &events, listener, answer_monitor)?;
             Some(started)
         }
         None => None,
@@ -193,8 +199,10 @@
     protocols: &Protocols,
     events: &EventSender,
     listener: NoticeRecorder,
+    answer_monitor: AnswerMonitor,
 ) -> Result<GatewayRuntime, NodeError> {
-    GatewayRuntime::start(settings, protocols, events, listener).map_err(|error| {
+    let started = GatewayRuntime::start(settings, protocols, events, listener, answer_monitor);
+    started.map_err(|error| {
         let message = format!("gateway {}: {error}", settings.callers);
         NodeError::new(ResultCode::AddressInUse, message)
     })
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -185,6 +185,28 @@
         /// Condition that selected the next action.
         why: String,
     },
+    /// The head of a back end's answer that does not name the request it was read for, or that
+    /// states that the back end did not run it.
+    AnswerChecked {
+        /// Identifier of the request or call that the answer was read for.
+        request: String,
+        /// Back end that sent the answer.
+        backend: String,
+        /// Kind of the exchange.
+        path: String,
+        /// HTTP status of the answer.
+        status: u16,
+        /// Whether the answer states that the request was not run.
+        says_not_run: bool,
+        /// Identifier that the answer names: `own`, `other` or `none`.
+        echoed: String,
+        /// Number of requests that the connection carried before.
+        earlier_requests: usize,
+        /// Identifier of the previous request on the connection; empty for none.
+        previous_request: String,
+        /// HTTP status of the previous answer on the connection; 0 for none.
+        previous_status: u16,
+    },
     /// A response was sent to the caller.
     Answered {
         /// Request identifier sent by the caller.
--- a/crates/decisions/src/event_class.rs
+++ b/crates/decisions/src/event_class.rs
@@ -32,6 +32,7 @@
             | Event::WaitsForRest { .. }
             | Event::PhaseDone { .. }
             | Event::SendFailed { .. }
+            | Event::AnswerChecked { .. }
             | Event::ForwardFailed { .. }
             | Event::Answered { .. }
             | Event::CallerGone { .. } => EventClass::RequestFailure,
@@ -49,6 +50,7 @@
             | Event::PhaseDone { request, .. }
             | Event::Sent { request, .. }
             | Event::SendFailed { request, .. }
+            | Event::AnswerChecked { request, .. }
             | Event::Forwarded { request, .. }
             | Event::ForwardFailed { request, .. }
             | Event::WaitsForRest { request, .. }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -49,6 +49,15 @@
     NoAnswer(String),
 }
 
+/// An exchange that a connection carried.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EarlierExchange {
+    /// Identifier of the request; empty if it has none.
+    pub request: String,
+    /// HTTP status of the answer.
+    pub status: u16,
+}
+
 /// Connection to a back end; it is closed when dropped.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -56,7 +65,12 @@
     address: String,
     idle_since: Instant,
     lifetime: Duration,
-    is_reused: bool,
+    /// Number of requests sent, including the current one.
+    requests: usize,
+    /// Latest exchange whose answer began.
+    latest: Option<EarlierExchange>,
+    /// The exchange before the current one.
+    previous: Option<EarlierExchange>,
     pool: Arc<IdleConnections>,
 }
 
@@ -67,9 +81,14 @@
 }
 
 impl Connection {
-    /// Returns whether the connection has carried a request before.
-    pub fn is_reused(&self) -> bool {
-        self.is_reused
+    /// Number of requests that the connection carried before the current one.
+    pub fn earlier_requests(&self) -> usize {
+        self.requests.saturating_sub(1)
+    }
+
+    /// The exchange before the current one.
+    pub fn previous_exchange(&self) -> Option<&EarlierExchange> {
+        self.previous.as_ref()
     }
 
     /// Returns whether the peer leaves the new connection open for `period`.
@@ -78,7 +97,7 @@
         !self.sender.is_closed()
     }
 
-    /// Sends a request and waits for the head of the answer.
+    /// Sends the request `id` and waits for the head of the answer. The identifier may be empty.
     ///
     /// # Errors
     ///
@@ -86,8 +105,12 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+        id: &str,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender
+        self.previous = self.latest.take();
+        self.requests += 1;
+        let response = self
+            .sender
             .try_send_request(request)
             .await
             .map_err(|mut failure| {
@@ -100,7 +123,12 @@
                     }
                     false => SendError::NotSent(text),
                 }
-            })
+            })?;
+        self.latest = Some(EarlierExchange {
+            request: id.to_owned(),
+            status: response.status().as_u16(),
+        });
+        Ok(response)
     }
 
     /// Applies the lifetime of idle connections that the head of an answer announces.
@@ -121,7 +149,6 @@
             return;
         }
         self.idle_since = Instant::now();
-        self.is_reused = true;
         let pool = self.pool.clone();
         if let Ok(mut idle) = pool.idle.lock() {
             let connections = idle.entry(self.address.clone()).or_default();
@@ -239,7 +266,9 @@
             address: address.to_owned(),
             idle_since: Instant::now(),
             lifetime: IDLE_LIFETIME,
-            is_reused: false,
+            requests: 0,
+            latest: None,
+            previous: None,
             pool: self.shared.clone(),
         })
     }
--- a/crates/http/tests/dead_peers.rs
+++ b/crates/http/tests/dead_peers.rs
@@ -69,7 +69,7 @@
             .connect(&address, CONNECT_TIMEOUT)
             .await
             .expect("connects");
-        let response = connection.send(request()).await.expect("an answer");
+        let response = connection.send(request(), "r").await.expect("an answer");
         let body = http_body_util::BodyExt::collect(response.into_body()).await;
         assert_eq!(body.expect("a complete body").to_bytes(), "ok");
         connections.push(connection);
@@ -78,6 +78,6 @@
         .into_iter()
         .for_each(|connection| connection.return_to_pool());
     let mut first = pool.take_idle(&address).expect("an idle connection");
-    assert!(first.send(request()).await.is_err());
+    assert!(first.send(request(), "r").await.is_err());
     assert!(pool.take_idle(&address).is_none());
 }
--- a/crates/http/tests/slow_peers.rs
+++ b/crates/http/tests/slow_peers.rs
@@ -108,7 +108,7 @@
             let mut connection = pool.connect(&backend, TIMEOUT).await?;
             let request = Request::builder().uri("/").header("host", "a");
             let request = request.body(Full::default()).expect("valid");
-            let sent = connection.send(request).await;
+            let sent = connection.send(request, "r").await;
             let response = sent.map_err(std::io::Error::other)?;
             let answer = AnswerBody::new(response, connection, false);
             let (parts, body) = answer.map_err(std::io::Error::other)?;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`batcher`]: grouping of pieces into batch calls
 //! - [`dispatcher`]: state of each request from arrival to answer
 
+pub mod answer_identity;
 pub mod batcher;
 pub mod cold;
 pub mod crashes;
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -1,6 +1,7 @@
 //! Ports between the core and the external protocols. An adapter implements the traits; header
 //! names, paths and encodings are known only there.
 
+use crate::answer_identity::EchoedId;
 use http::{HeaderMap, Method, Uri};
 use silversail_model::{AdvertisedRateLimit, ContentDigest, ResultCode, TrafficConfiguration};
 pub use silversail_peer::{BackendListEntry, StreamOrigin};
@@ -192,6 +193,8 @@
 /// Parsed head of an engine's answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AnswerHead {
+    /// Identifier that the answer names.
+    pub echoed: EchoedId,
     /// Whether the answer echoes the identifier of the request that was sent.
     pub matches_request: bool,
     /// Whether the engine states that it did not run the request.
