An answer of another request says nothing of this one

Cause: the sender asked whether an answer says "not run" before it asked whose answer it is. A refusal that an engine sends a second time, late, arrives where the answer to the next request on the connection is due, and was believed; the connection went back to the pool with that request's own answer still due.

Another's answer makes the request unknown, closes the connection, and counts for nothing in rollouts; what it says of the back end itself counts as before. A failure without an identifier is believed only where the wire shows one, or on a connection that carried nothing before; no connection is reused after one.

--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -2,7 +2,6 @@
 //! The backend list is read in [`super::list_fetch`].
 
 use crate::event::{Event, EventSender};
-use crate::gateway::answer_monitor::{AnswerMonitor, Exchange};
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::notices::{NoticeRecorder, SendPermit};
 use bytes::Bytes;
@@ -10,6 +9,7 @@
 use silversail_http::ConnectionPool;
 use silversail_model::traffic::CallerLimits;
 use silversail_peer::ResultHandle;
+use silversail_serving::answer_identity::ConnectionUse;
 use silversail_serving::batcher::{BatchCall, CallOutcome};
 use silversail_serving::crashes::{Probe, ProbeResult};
 use silversail_serving::instances::InstanceId;
@@ -122,8 +122,6 @@
     pub protocols: Protocols,
     /// Records what back ends report about themselves.
     pub notice_recorder: NoticeRecorder,
-    /// Records answers that do not name their call.
-    pub answer_monitor: AnswerMonitor,
     /// Channel to the gateway actor, for outcomes of calls.
     pub events: EventSender,
     /// Publishes the limits for callers to the HTTP service.
@@ -287,18 +285,12 @@
         };
         connection.apply_keep_alive(response.headers());
         let status = response.status().as_u16();
-        let head = self
-            .protocols
-            .requests
-            .read_answer(status, response.headers(), "");
+        let requests = &self.protocols.requests;
+        let head = requests.read_call_answer(status, response.headers(), "");
+        let head = head
+            .identify(ConnectionUse::default())
+            .map_err(|error| CallError::NoAnswer(error.to_string()))?;
         if let CallTarget::Backend { instance, path, .. } = target {
-            let exchange = Exchange {
-                id: "",
-                backend: instance,
-                path: path.name(),
-            };
-            self.answer_monitor
-                .record(&exchange, &connection, status, &head);
             let answer = AnswerContext {
                 path: *path,
                 permit: permit.as_ref().and_then(SendPermit::serial),
--- a/crates/daemon/src/gateway/forwarding.rs
+++ b/crates/daemon/src/gateway/forwarding.rs
@@ -4,18 +4,17 @@
 //! privilege depends on the header that marks it: a caller that sets it only forgoes forwarding.
 
 use crate::clock;
-use crate::gateway::answer_monitor::Exchange;
 use crate::gateway::calls::CONNECT_TIMEOUT;
+use crate::gateway::exchange::{Exchange, ExchangeError, OwnAnswer};
 use crate::gateway::request_sender::{
-    is_long, reuse_after_refusal, until_deadline, with_headers, FailedSend, ReceivedAnswer,
-    RequestSender, SendResult, StreamCallbacks, NOT_RUN_STATUSES,
+    is_long, until_deadline, with_headers, FailedSend, ReceivedAnswer, RequestSender, SendResult,
+    StreamCallbacks, NOT_RUN_STATUSES,
 };
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Request, Response};
-use silversail_http::{Connection, IncomingRequest, SendError};
+use hyper::Request;
+use silversail_http::IncomingRequest;
 use silversail_serving::dispatcher::{NotRunReason, SendOutcome, UnknownReason};
 use silversail_serving::forwarding::ForwardPlan;
 
@@ -46,32 +45,22 @@
     ) -> SendResult {
         let deadline = clock::to_monotonic(self.clock.instant(plan.end));
         let forwarding = async {
-            let (mut connection, response) = self.forward_until_head(request, id, plan).await?;
-            connection.apply_keep_alive(response.headers());
-            let status = response.status().as_u16();
-            let protocol = &self.protocols.requests;
-            let head = protocol.read_answer(status, response.headers(), id);
-            let exchange = Exchange {
-                id,
-                backend: plan.node.as_str(),
-                path: "forward",
-            };
-            self.answer_monitor
-                .record(&exchange, &connection, status, &head);
+            let own = self.forward_until_head(request, id, plan).await?;
+            let status = own.head.status;
             let is_success = (200..300).contains(&status);
-            if !head.matches_request || (is_success && !head.is_signed) {
+            if is_success && !own.head.is_signed {
                 return Err(SendOutcome::Unknown(UnknownReason::Garbled).into());
             }
             // The peer's word holds for what it did itself only, and it may not have applied the
             // configuration by which this node accepted the request yet.
             let is_own_refusal = plan.earlier_attempts > 0 && NOT_RUN_STATUSES.contains(&status);
-            let is_unknown_there = UNKNOWN_STATUSES.contains(&status) && !head.is_signed;
+            let is_unknown_there = UNKNOWN_STATUSES.contains(&status) && !own.head.is_signed;
             if is_own_refusal || is_unknown_there {
-                reuse_after_refusal(connection, response.into_body()).await;
+                own.reuse_after_refusal().await;
                 return Err(SendOutcome::NotRun(NotRunReason::Refused).into());
             }
-            let is_streamed = plan.is_stream || is_long(response.headers());
-            let answer = ReceivedAnswer::new(response, connection, head, false)?;
+            let is_streamed = plan.is_stream || is_long(own.response.headers());
+            let answer = ReceivedAnswer::new(own, false)?;
             match is_streamed {
                 true => Ok(answer.stream(callbacks, deadline)),
                 false => answer.buffer().await,
@@ -86,27 +75,21 @@
         request: &IncomingRequest,
         id: &str,
         plan: &ForwardPlan,
-    ) -> Result<(Connection, Response<Incoming>), FailedSend> {
-        if let Some(mut connection) = self.pool.take_idle(&plan.address) {
+    ) -> Result<OwnAnswer, FailedSend> {
+        let exchange = Exchange::forward(id, plan.node.as_str());
+        if let Some(connection) = self.pool.take_idle(&plan.address) {
             let outgoing = self.forwarded_request(request, plan);
-            match connection.send(outgoing, id).await {
-                Ok(response) => return Ok((connection, response)),
+            match self.exchanges.send(&exchange, connection, outgoing).await {
                 // The peer had closed the idle connection before the request was sent.
-                Err(SendError::NotSent(_)) => {}
-                Err(SendError::NoAnswer(_)) => {
-                    return Err(SendOutcome::Unknown(UnknownReason::Broken).into())
-                }
+                Err(ExchangeError::NotSent(_)) => {}
+                exchanged => return Ok(exchanged?),
             }
         }
         let unreachable = || FailedSend::from(SendOutcome::NotRun(NotRunReason::Unreachable));
         let connecting = self.pool.connect(&plan.address, CONNECT_TIMEOUT);
-        let mut connection = connecting.await.map_err(|_| unreachable())?;
+        let connection = connecting.await.map_err(|_| unreachable())?;
         let outgoing = self.forwarded_request(request, plan);
-        match connection.send(outgoing, id).await {
-            Ok(response) => Ok((connection, response)),
-            Err(SendError::NotSent(_)) => Err(unreachable()),
-            Err(SendError::NoAnswer(_)) => Err(SendOutcome::Unknown(UnknownReason::Broken).into()),
-        }
+        Ok(self.exchanges.send(&exchange, connection, outgoing).await?)
     }
 
     fn forwarded_request(
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -6,13 +6,13 @@
 
 pub mod actor;
 pub mod allowed_locations;
-pub mod answer_monitor;
 mod batching;
 pub mod callers;
 pub mod calls;
 mod crashes;
 pub mod entry_points;
 pub mod event;
+pub mod exchange;
 pub mod forwarding;
 mod limits;
 mod list_fetch;
--- a/crates/daemon/src/gateway/request_sender.rs
+++ b/crates/daemon/src/gateway/request_sender.rs
@@ -1,13 +1,12 @@
 //! One send of a caller's request to a back end, and its answer.
 
 use crate::clock::{self, Clock};
-use crate::gateway::answer_monitor::{AnswerMonitor, Exchange};
 use crate::gateway::calls::CONNECT_TIMEOUT;
+use crate::gateway::exchange::{Exchange, ExchangeClient, ExchangeError, OwnAnswer};
 use crate::gateway::forwarding::FORWARDED;
 use crate::gateway::notices::NoticeRecorder;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Either, Full, Limited};
-use hyper::body::Incoming;
 use hyper::header::{
     HeaderMap, HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, TE, TRAILER, TRANSFER_ENCODING,
     UPGRADE,
@@ -16,7 +15,6 @@
 use hyper::{Request, Response};
 use silversail_http::{
     AnswerBody, Connection, ConnectionPool, IncomingRequest, OutgoingBody, RelayBody, RelayOutcome,
-    SendError,
 };
 use silversail_limits::Serial;
 use silversail_model::AnswerEnd;
@@ -64,6 +62,17 @@
     }
 }
 
+impl From<ExchangeError> for FailedSend {
+    fn from(error: ExchangeError) -> Self {
+        let outcome = match error {
+            ExchangeError::NotSent(_) => SendOutcome::NotRun(NotRunReason::Unreachable),
+            ExchangeError::NoAnswer(_) => SendOutcome::Unknown(UnknownReason::Broken),
+            ExchangeError::Foreign(_) => SendOutcome::Unknown(UnknownReason::Foreign),
+        };
+        outcome.into()
+    }
+}
+
 impl From<UnavailableReason> for FailedSend {
     fn from(_: UnavailableReason) -> Self {
         SendOutcome::NotRun(NotRunReason::BackendUnavailable).into()
@@ -81,8 +90,8 @@
     pub clock: Clock,
     /// Records what back ends report about themselves.
     pub notice_recorder: NoticeRecorder,
-    /// Records answers that do not name their request.
-    pub answer_monitor: AnswerMonitor,
+    /// Makes the exchanges.
+    pub exchanges: ExchangeClient,
 }
 
 /// Callbacks for the progress of a streamed answer.
@@ -116,52 +125,35 @@
         callbacks: StreamCallbacks,
         deadline: Instant,
     ) -> Result<SendResult, FailedSend> {
-        let (mut connection, response, permit) = self.send_until_head(request, id, plan).await?;
-        connection.apply_keep_alive(response.headers());
-        let status = response.status().as_u16();
-        let head = self
-            .protocols
-            .requests
-            .read_answer(status, response.headers(), id);
-        let exchange = Exchange {
-            id,
-            backend: &plan.instance,
-            path: ExchangeKind::Request.name(),
-        };
-        self.answer_monitor
-            .record(&exchange, &connection, status, &head);
+        let (own, permit) = self.send_until_head(request, id, plan).await?;
+        let (status, load) = (own.head.status, own.head.report.load);
         let answer = AnswerContext {
             path: ExchangeKind::Request,
             permit,
-            is_success: may_be_forwarded(status, &head) && status < 500,
+            is_success: may_be_forwarded(&own.head) && status < 500,
         };
         self.notice_recorder
-            .record_report(&plan.instance, answer, &head.report);
-        if head.not_run {
-            let reason = not_run_reason(status);
-            reuse_after_refusal(connection, response.into_body()).await;
-            return Err(FailedSend {
-                outcome: SendOutcome::NotRun(reason),
-                load: head.report.load,
-            });
+            .record_report(&plan.instance, answer, &own.head.report);
+        if own.head.not_run {
+            let outcome = SendOutcome::NotRun(not_run_reason(status));
+            own.reuse_after_refusal().await;
+            return Err(FailedSend { outcome, load });
         }
-        if !may_be_forwarded(status, &head) {
+        if !may_be_forwarded(&own.head) {
             return Err(SendOutcome::Unknown(UnknownReason::Garbled).into());
         }
         if status >= 500 && plan.may_repeat {
-            reuse_after_refusal(connection, response.into_body()).await;
-            return Err(FailedSend {
-                outcome: SendOutcome::Failed { status },
-                load: head.report.load,
-            });
+            let outcome = SendOutcome::Failed { status };
+            own.reuse_after_refusal().await;
+            return Err(FailedSend { outcome, load });
         }
-        let is_streamed = plan.is_stream || is_long(response.headers());
+        let is_streamed = plan.is_stream || is_long(own.response.headers());
         let is_leaving = self
             .notice_recorder
             .notices
             .of(&plan.instance)
             .is_draining();
-        let answer = ReceivedAnswer::new(response, connection, head, is_leaving)?;
+        let answer = ReceivedAnswer::new(own, is_leaving)?;
         match is_streamed {
             true => Ok(answer.stream(callbacks, deadline)),
             false => answer.buffer().await,
@@ -175,25 +167,24 @@
         request: &IncomingRequest,
         id: &str,
         plan: &SendPlan,
-    ) -> Result<(Connection, Response<Incoming>, Option<Serial>), FailedSend> {
+    ) -> Result<(OwnAnswer, Option<Serial>), FailedSend> {
+        let exchange = Exchange::request(id, &plan.instance);
         let mut permit = self
             .notice_recorder
             .admit(&plan.instance, ExchangeKind::Request)?;
-        if let Some(mut connection) = self.pool.take_idle(&plan.address) {
+        if let Some(connection) = self.pool.take_idle(&plan.address) {
             permit.spend();
             let outgoing = self.build_request(request, plan);
-            match connection.send(outgoing, id).await {
-                Ok(response) => return Ok((connection, response, permit.serial())),
+            match self.exchange(&exchange, connection, outgoing).await {
+                Ok(own) => return Ok((own, permit.serial())),
                 // The back end had closed the idle connection before the request was sent.
-                Err(SendError::NotSent(_)) => permit.unspend(),
-                Err(SendError::NoAnswer(_)) => {
-                    return Err(SendOutcome::Unknown(UnknownReason::Broken).into())
-                }
+                Err(ExchangeError::NotSent(_)) => permit.unspend(),
+                Err(error) => return Err(error.into()),
             }
         }
         let unreachable = || FailedSend::from(SendOutcome::NotRun(NotRunReason::Unreachable));
         let connecting = self.pool.connect(&plan.address, CONNECT_TIMEOUT);
-        let mut connection = connecting.await.map_err(|_| unreachable())?;
+        let connection = connecting.await.map_err(|_| unreachable())?;
         // Other answers may have changed the back end's state while this connection was opened.
         let mut permit = match permit.renew() {
             Ok(permit) => permit,
@@ -204,14 +195,27 @@
         };
         permit.spend();
         let outgoing = self.build_request(request, plan);
-        match connection.send(outgoing, id).await {
-            Ok(response) => Ok((connection, response, permit.serial())),
-            Err(SendError::NotSent(_)) => {
-                permit.unspend();
-                Err(unreachable())
-            }
-            Err(SendError::NoAnswer(_)) => Err(SendOutcome::Unknown(UnknownReason::Broken).into()),
+        let exchanged = self.exchange(&exchange, connection, outgoing).await;
+        if matches!(exchanged, Err(ExchangeError::NotSent(_))) {
+            permit.unspend();
         }
+        Ok((exchanged?, permit.serial()))
+    }
+
+    /// Makes an exchange with a back end. What another request's answer reports about the back end
+    /// counts: the connection does not outlive its process.
+    async fn exchange(
+        &self,
+        exchange: &Exchange<'_>,
+        connection: Connection,
+        outgoing: Request<Full<Bytes>>,
+    ) -> Result<OwnAnswer, ExchangeError> {
+        let exchanged = self.exchanges.send(exchange, connection, outgoing).await;
+        if let Err(ExchangeError::Foreign(foreign)) = &exchanged {
+            let recorder = &self.notice_recorder;
+            recorder.record_report(exchange.backend, ExchangeKind::Request, &foreign.report);
+        }
+        exchanged
     }
 
     /// Time left until a deadline.
@@ -280,15 +284,18 @@
 
 /// Whether an answer may be forwarded. A status that guarantees the request did not run may come
 /// only from the gateway: a forwarded one would be wrong.
-fn may_be_forwarded(status: u16, head: &AnswerHead) -> bool {
-    let is_success = (200..300).contains(&status);
-    head.matches_request && (head.is_signed || !is_success) && !NOT_RUN_STATUSES.contains(&status)
+fn may_be_forwarded(head: &AnswerHead) -> bool {
+    let is_success = (200..300).contains(&head.status);
+    (head.is_signed || !is_success) && !NOT_RUN_STATUSES.contains(&head.status)
 }
 
-pub(super) async fn reuse_after_refusal(connection: Connection, body: Incoming) {
-    let body = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect();
-    if let Ok(Ok(_)) = timeout(REFUSAL_BODY_TIMEOUT, body).await {
-        connection.return_to_pool();
+impl OwnAnswer {
+    /// Reads the body of a refusal and returns the connection to its pool.
+    pub(super) async fn reuse_after_refusal(self) {
+        let body = Limited::new(self.response.into_body(), MAX_BUFFERED_ANSWER_BYTES).collect();
+        if let Ok(Ok(_)) = timeout(REFUSAL_BODY_TIMEOUT, body).await {
+            self.connection.return_to_pool();
+        }
     }
 }
 
@@ -337,16 +344,11 @@
 impl ReceivedAnswer {
     /// Prepares an answer for the caller. `is_leaving` tells whether the back end is expected to
     /// end after it.
-    pub(super) fn new(
-        response: Response<Incoming>,
-        connection: Connection,
-        head: AnswerHead,
-        is_leaving: bool,
-    ) -> Result<Self, FailedSend> {
-        let (mut parts, body) = AnswerBody::new(response, connection, is_leaving)
+    pub(super) fn new(own: OwnAnswer, is_leaving: bool) -> Result<Self, FailedSend> {
+        let (mut parts, body) = AnswerBody::new(own.response, own.connection, is_leaving)
             .map_err(|_| FailedSend::from(SendOutcome::Unknown(UnknownReason::Garbled)))?;
         strip_connection_headers(&mut parts.headers);
-        let load = head.report.load;
+        let load = own.head.report.load;
         Ok(Self { parts, body, load })
     }
 
--- a/crates/daemon/src/gateway/runtime.rs
+++ b/crates/daemon/src/gateway/runtime.rs
@@ -1,9 +1,9 @@
 //! Tokio runtime of the gateway, with its HTTP servers and its calls to back ends.
 
 use crate::event::EventSender;
-use crate::gateway::answer_monitor::AnswerMonitor;
 use crate::gateway::callers::CallerService;
 use crate::gateway::calls::RuntimeCalls;
+use crate::gateway::exchange::ExchangeClient;
 use crate::gateway::notices::NoticeRecorder;
 use crate::gateway::request_sender::RequestSender;
 use crate::gateway::surface::SurfaceService;
@@ -31,7 +31,7 @@
         protocols: &Protocols,
         events: &EventSender,
         notice_recorder: NoticeRecorder,
-        answer_monitor: AnswerMonitor,
+        exchanges: ExchangeClient,
     ) -> io::Result<Self> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
@@ -46,7 +46,6 @@
             pool: ConnectionPool::new(),
             protocols: protocols.clone(),
             notice_recorder: notice_recorder.clone(),
-            answer_monitor: answer_monitor.clone(),
             events: events.clone(),
             limits: Arc::new(limits),
             is_list_reader: Arc::new(watch::channel(false).0),
@@ -58,7 +57,7 @@
                 protocols: protocols.clone(),
                 clock: notice_recorder.clock,
                 notice_recorder,
-                answer_monitor,
+                exchanges,
             },
             next_number: Arc::new(AtomicU64::new(1)),
             limits: limits_receiver,
--- a/crates/daemon/src/gateway/send_metrics.rs
+++ b/crates/daemon/src/gateway/send_metrics.rs
@@ -97,6 +97,7 @@
         SendOutcome::NotRun(NotRunReason::Refused) => "refused",
         SendOutcome::Unknown(UnknownReason::Broken) => "broken",
         SendOutcome::Unknown(UnknownReason::Garbled) => "garbled",
+        SendOutcome::Unknown(UnknownReason::Foreign) => "foreign",
         SendOutcome::Unknown(UnknownReason::Deadline) => "deadline",
         SendOutcome::Failed { .. } => "failed",
     }
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -5,8 +5,8 @@
 use crate::calls::{CallThreadPool, OrderSender, StageCalls};
 use crate::clock::{self, wall_clock_ms, Clock, SuspensionMonitor};
 use crate::event::{Event, EventSender};
-use crate::gateway::answer_monitor::AnswerMonitor;
 use crate::gateway::calls::RuntimeCalls;
+use crate::gateway::exchange::ExchangeClient;
 use crate::gateway::notices::NoticeRecorder;
 use crate::gateway::runtime::GatewayRuntime;
 use crate::metrics::Metrics;
@@ -71,12 +71,13 @@
     let gateway = match &settings.gateway {
         Some(gateway) => {
             let listener = listener(notices.clone());
-            let answer_monitor = AnswerMonitor {
+            let exchanges = ExchangeClient {
+                protocols: parts.protocols.clone(),
                 log: log.clone(),
                 metrics: metrics.clone(),
             };
             let protocols = &parts.protocols;
-            let started = start_gateway(gateway, protocols, &events, listener, answer_monitor)?;
+            let started = start_gateway(gateway, protocols, &events, listener, exchanges)?;
             Some(started)
         }
         None => None,
@@ -199,9 +200,9 @@
     protocols: &Protocols,
     events: &EventSender,
     listener: NoticeRecorder,
-    answer_monitor: AnswerMonitor,
+    exchanges: ExchangeClient,
 ) -> Result<GatewayRuntime, NodeError> {
-    let started = GatewayRuntime::start(settings, protocols, events, listener, answer_monitor);
+    let started = GatewayRuntime::start(settings, protocols, events, listener, exchanges);
     started.map_err(|error| {
         let message = format!("gateway {}: {error}", settings.callers);
         NodeError::new(ResultCode::AddressInUse, message)
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -200,6 +200,8 @@
         says_not_run: bool,
         /// Identifier that the answer names: `own`, `other` or `none`.
         echoed: String,
+        /// Whether it was taken for the answer to that request.
+        is_own: bool,
         /// Number of requests that the connection carried before.
         earlier_requests: usize,
         /// Identifier of the previous request on the connection; empty for none.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -37,7 +37,6 @@
 const PEER_CHECK_OPEN_FOR: Duration = Duration::from_millis(20);
 /// Maximum number of idle connections to one back end.
 const MAX_IDLE_PER_BACKEND: usize = 16;
-
 /// Reason why a request received no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum SendError {
@@ -67,6 +66,8 @@
     lifetime: Duration,
     /// Number of requests sent, including the current one.
     requests: usize,
+    /// Whether it may carry another request.
+    is_reusable: bool,
     /// Latest exchange whose answer began.
     latest: Option<EarlierExchange>,
     /// The exchange before the current one.
@@ -86,6 +87,11 @@
         self.requests.saturating_sub(1)
     }
 
+    /// Sets whether the connection may carry another request once the answer has been read.
+    pub fn set_reusable(&mut self, is_reusable: bool) {
+        self.is_reusable = is_reusable;
+    }
+
     /// The exchange before the current one.
     pub fn previous_exchange(&self) -> Option<&EarlierExchange> {
         self.previous.as_ref()
@@ -145,7 +151,7 @@
 
     /// Returns the connection to its pool. The answer must have been read completely.
     pub fn return_to_pool(mut self) {
-        if self.lifetime.is_zero() || self.sender.is_closed() {
+        if !self.is_reusable || self.lifetime.is_zero() || self.sender.is_closed() {
             return;
         }
         self.idle_since = Instant::now();
@@ -267,6 +273,7 @@
             idle_since: Instant::now(),
             lifetime: IDLE_LIFETIME,
             requests: 0,
+            is_reusable: true,
             latest: None,
             previous: None,
             pool: self.shared.clone(),
--- a/crates/serving/src/dispatcher/action.rs
+++ b/crates/serving/src/dispatcher/action.rs
@@ -127,8 +127,10 @@
 pub enum UnknownReason {
     /// The connection was lost before the head of the answer.
     Broken,
-    /// The answer violates the protocol or names another request.
+    /// The answer violates the protocol.
     Garbled,
+    /// The answer to another request came in place of its own.
+    Foreign,
     /// The deadline passed.
     Deadline,
 }
--- a/crates/serving/src/dispatcher/outcomes.rs
+++ b/crates/serving/src/dispatcher/outcomes.rs
@@ -84,6 +84,9 @@
             SendOutcome::Unknown(UnknownReason::Garbled) => {
                 instances.record_failure(instance, now, "garbled");
             }
+            SendOutcome::Unknown(UnknownReason::Foreign) => {
+                instances.record_failure(instance, now, "foreign_answer");
+            }
         }
     }
 
@@ -155,7 +158,7 @@
         let code = match (reason, is_idempotent) {
             (UnknownReason::Deadline, true) => ResultCode::DeadlineMissed,
             (UnknownReason::Deadline, false) => ResultCode::DeadlineWhileSent,
-            (UnknownReason::Garbled, true) => ResultCode::BackendProtocol,
+            (UnknownReason::Garbled | UnknownReason::Foreign, true) => ResultCode::BackendProtocol,
             (_, true) => ResultCode::BackendFailed,
             (_, false) => ResultCode::AnswerLost,
         };
--- a/crates/serving/src/dispatcher/sending.rs
+++ b/crates/serving/src/dispatcher/sending.rs
@@ -1,7 +1,9 @@
 //! Sends: selection of an engine and its version, and counting for rollouts.
 
 use super::request::{ActiveRequest, ActiveSend};
-use super::{Action, Dispatcher, NotRunReason, RequestNumber, SendOutcome, SendPlan};
+use super::{
+    Action, Dispatcher, NotRunReason, RequestNumber, SendOutcome, SendPlan, UnknownReason,
+};
 use crate::instances::Instance;
 use crate::rollouts::{CountedAnswer, VersionChoice, VersionRole};
 use crate::selection::{select, SelectionRequest};
@@ -213,7 +215,8 @@
 }
 
 /// How an outcome counts for a version. Full or unreachable engines do not count: load and
-/// crashes affect good versions too, and every node would count the same crash.
+/// crashes affect good versions too, and every node would count the same crash. The answer to
+/// another request tells nothing about this one.
 fn counted_answer(
     outcome: SendOutcome,
     began_at: Millis,
@@ -221,7 +224,7 @@
     now: Millis,
 ) -> Option<CountedAnswer> {
     match outcome {
-        SendOutcome::NotRun(_) => None,
+        SendOutcome::NotRun(_) | SendOutcome::Unknown(UnknownReason::Foreign) => None,
         SendOutcome::Delivered { status, end } if status < 500 && end.is_whole() => {
             Some(CountedAnswer::Good {
                 time_to_first_byte_ms: first_byte_at.saturating_sub(began_at),
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -1,7 +1,7 @@
 //! Ports between the core and the external protocols. An adapter implements the traits; header
 //! names, paths and encodings are known only there.
 
-use crate::answer_identity::EchoedId;
+use crate::answer_identity::UncheckedHead;
 use http::{HeaderMap, Method, Uri};
 use silversail_model::{AdvertisedRateLimit, ContentDigest, ResultCode, TrafficConfiguration};
 pub use silversail_peer::{BackendListEntry, StreamOrigin};
@@ -190,13 +190,13 @@
     pub unknown: Vec<String>,
 }
 
-/// Parsed head of an engine's answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Head of the answer to a request or call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerHead {
-    /// Identifier that the answer names.
-    pub echoed: EchoedId,
-    /// Whether the answer echoes the identifier of the request that was sent.
-    pub matches_request: bool,
+    /// HTTP status.
+    pub status: u16,
+    /// Whether the answer names the request; otherwise it is the request's by its place alone.
+    pub is_named: bool,
     /// Whether the engine states that it did not run the request.
     pub not_run: bool,
     /// Whether the answer carries the engine's signature.
@@ -221,8 +221,12 @@
     /// the remaining time in milliseconds.
     fn forward_headers(&self, caller: &HeaderMap, remaining_ms: u64) -> HeaderMap;
 
-    /// Parses the head of an engine's answer to the request `id`.
-    fn read_answer(&self, status: u16, headers: &HeaderMap, id: &str) -> AnswerHead;
+    /// Parses the head of an answer that was read for the request `id`.
+    fn read_answer(&self, status: u16, headers: &HeaderMap, id: &str) -> UncheckedHead;
+
+    /// Parses the head of an answer that was read for the call `id` of this node; empty if the call
+    /// carries no identifier.
+    fn read_call_answer(&self, status: u16, headers: &HeaderMap, id: &str) -> UncheckedHead;
 
     /// Builds the headers of an answer that this node generates itself.
     fn own_answer_headers(&self, id: &str, retry_after: Option<Duration>) -> HeaderMap;
