A connection does not carry the same request twice

An engine that answers 409 (inputs lost) gets the same request again, over the same connection, under the identifier that the caller gave it. A late repetition of the first refusal names that identifier, and was believed for the second send.

Change: ConnectionPool::take_idle passes over connections that carried the request, and UncheckedHead::identify does not identify an answer by an identifier that its connection carried before. Connections close after 1,000 requests, which bounds the record.

--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -248,7 +248,7 @@
     ) -> Result<CallAnswer, CallError> {
         let address = target.address();
         let not_sent = |error: std::io::Error| CallError::NotSent(error.to_string());
-        let mut connection = match self.pool.take_idle(address) {
+        let mut connection = match self.pool.take_idle(address, "") {
             Some(connection) => connection,
             None => {
                 let connecting = self.pool.connect(address, CONNECT_TIMEOUT);
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -8,7 +8,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use silversail_decisions::{DecisionLog, Event};
-use silversail_http::{Connection, SendError};
+use silversail_http::{CarriedKey, Connection, SendError};
 use silversail_serving::answer_identity::{ConnectionUse, EchoedId, ForeignAnswer, UncheckedHead};
 use silversail_serving::notices::ExchangeKind;
 use silversail_serving::ports::{AnswerHead, Protocols};
@@ -125,6 +125,7 @@
         let unchecked = self.read_head(exchange, response.status().as_u16(), response.headers());
         let identified = unchecked.identify(ConnectionUse {
             has_carried: connection.earlier_requests() > 0,
+            has_carried_id: connection.has_carried(CarriedKey::of(exchange.id)),
         });
         let identified = identified.map_err(Box::new);
         self.record(exchange, &connection, &identified);
--- a/crates/daemon/src/gateway/forwarding.rs
+++ b/crates/daemon/src/gateway/forwarding.rs
@@ -77,7 +77,7 @@
         plan: &ForwardPlan,
     ) -> Result<OwnAnswer, FailedSend> {
         let exchange = Exchange::forward(id, plan.node.as_str());
-        if let Some(connection) = self.pool.take_idle(&plan.address) {
+        if let Some(connection) = self.pool.take_idle(&plan.address, id) {
             let outgoing = self.forwarded_request(request, plan);
             match self.exchanges.send(&exchange, connection, outgoing).await {
                 // The peer had closed the idle connection before the request was sent.
--- a/crates/daemon/src/gateway/request_sender.rs
+++ b/crates/daemon/src/gateway/request_sender.rs
@@ -172,7 +172,7 @@
         let mut permit = self
             .notice_recorder
             .admit(&plan.instance, ExchangeKind::Request)?;
-        if let Some(connection) = self.pool.take_idle(&plan.address) {
+        if let Some(connection) = self.pool.take_idle(&plan.address, id) {
             permit.spend();
             let outgoing = self.build_request(request, plan);
             match self.exchange(&exchange, connection, outgoing).await {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -9,8 +9,10 @@
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use std::collections::HashMap;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{HashMap, HashSet};
 use std::future::Future;
+use std::hash::{Hash, Hasher};
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
@@ -37,6 +39,22 @@
 const PEER_CHECK_OPEN_FOR: Duration = Duration::from_millis(20);
 /// Maximum number of idle connections to one back end.
 const MAX_IDLE_PER_BACKEND: usize = 16;
+/// Maximum number of requests on one connection, which bounds the record of what it carried.
+const MAX_REQUESTS_PER_CONNECTION: usize = 1_000;
+
+/// Identifies something that a connection carried, as a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct CarriedKey(u64);
+
+impl CarriedKey {
+    /// Key of an identifier.
+    pub fn of(id: &str) -> Self {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
 /// Reason why a request received no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum SendError {
@@ -66,6 +84,10 @@
     lifetime: Duration,
     /// Number of requests sent, including the current one.
     requests: usize,
+    /// What it carried before the current request.
+    carried: HashSet<CarriedKey>,
+    /// The current request.
+    current: Option<CarriedKey>,
     /// Whether it may carry another request.
     is_reusable: bool,
     /// Latest exchange whose answer began.
@@ -87,6 +109,16 @@
         self.requests.saturating_sub(1)
     }
 
+    /// Returns whether the connection carried this before the current request.
+    pub fn has_carried(&self, key: CarriedKey) -> bool {
+        self.carried.contains(&key)
+    }
+
+    /// Records what the connection carried besides its requests.
+    pub fn record_carried(&mut self, key: CarriedKey) {
+        self.carried.insert(key);
+    }
+
     /// Sets whether the connection may carry another request once the answer has been read.
     pub fn set_reusable(&mut self, is_reusable: bool) {
         self.is_reusable = is_reusable;
@@ -115,6 +147,8 @@
     ) -> Result<Response<Incoming>, SendError> {
         self.previous = self.latest.take();
         self.requests += 1;
+        self.carried.extend(self.current.take());
+        self.current = Some(CarriedKey::of(id)).filter(|_| !id.is_empty());
         let response = self
             .sender
             .try_send_request(request)
@@ -151,7 +185,8 @@
 
     /// Returns the connection to its pool. The answer must have been read completely.
     pub fn return_to_pool(mut self) {
-        if !self.is_reusable || self.lifetime.is_zero() || self.sender.is_closed() {
+        let is_worn = self.requests >= MAX_REQUESTS_PER_CONNECTION;
+        if !self.is_reusable || is_worn || self.lifetime.is_zero() || self.sender.is_closed() {
             return;
         }
         self.idle_since = Instant::now();
@@ -174,6 +209,11 @@
         Box::pin(async move { pool.is_peer_gone(&address).await })
     }
 
+    /// Whether the current request or one before it is this.
+    fn carries(&self, key: CarriedKey) -> bool {
+        self.current == Some(key) || self.carried.contains(&key)
+    }
+
     fn is_usable(&self) -> bool {
         !self.sender.is_closed()
             && self.sender.is_ready()
@@ -220,16 +260,23 @@
         Self::default()
     }
 
-    /// Takes a usable idle connection to `address` out of the pool, if there is one.
-    pub fn take_idle(&self, address: &str) -> Option<Connection> {
+    /// Takes a usable idle connection to `address` out of the pool for the request `id`, if there is
+    /// one. It has not carried that request before, so that a late repetition of an earlier answer
+    /// to the request cannot come in place of the next one.
+    pub fn take_idle(&self, address: &str, id: &str) -> Option<Connection> {
+        let key = CarriedKey::of(id);
         let mut idle = self.shared.idle.lock().ok()?;
         let connections = idle.get_mut(address)?;
-        while let Some(connection) = connections.pop() {
+        let mut end = connections.len();
+        loop {
+            let mut candidates = connections[..end].iter();
+            let position = candidates.rposition(|connection| !connection.carries(key))?;
+            let connection = connections.remove(position);
             if connection.is_usable() {
                 return Some(connection);
             }
+            end = position;
         }
-        None
     }
 
     /// Closes the idle connections to `address`, for use after one of them received no answer.
@@ -273,6 +320,8 @@
             idle_since: Instant::now(),
             lifetime: IDLE_LIFETIME,
             requests: 0,
+            carried: HashSet::new(),
+            current: None,
             is_reusable: true,
             latest: None,
             previous: None,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use answer_body::{AnswerBody, CollectError};
 pub use body_memory::BodyMemoryLimit;
-pub use client::{Connection, ConnectionPool, EarlierExchange, SendError};
+pub use client::{CarriedKey, Connection, ConnectionPool, EarlierExchange, SendError};
 pub use config::HttpServerConfig;
 pub use event_stream::EventStreamScanner;
 pub use framing::AmbiguousFraming;
--- a/crates/http/tests/dead_peers.rs
+++ b/crates/http/tests/dead_peers.rs
@@ -77,7 +77,7 @@
     connections
         .into_iter()
         .for_each(|connection| connection.return_to_pool());
-    let mut first = pool.take_idle(&address).expect("an idle connection");
+    let mut first = pool.take_idle(&address, "r2").expect("an idle connection");
     assert!(first.send(request(), "r").await.is_err());
-    assert!(pool.take_idle(&address).is_none());
+    assert!(pool.take_idle(&address, "r2").is_none());
 }
--- a/crates/serving/src/answer_identity.rs
+++ b/crates/serving/src/answer_identity.rs
@@ -42,6 +42,8 @@
 pub struct ConnectionUse {
     /// Whether it carried any request before.
     pub has_carried: bool,
+    /// Whether it carried a request with the same identifier before.
+    pub has_carried_id: bool,
 }
 
 /// Head of an answer of which it is not known yet whose it is.
@@ -85,7 +87,7 @@
     /// If it belongs to another request, or may.
     pub fn identify(self, connection: ConnectionUse) -> Result<AnswerHead, ForeignAnswer> {
         let is_own = match self.echoed {
-            EchoedId::Own => true,
+            EchoedId::Own => !connection.has_carried_id,
             EchoedId::Other => false,
             // Connections are not reused after an answer without an identifier, so that a repeated
             // answer to an earlier request names that request.
