Calls to stages carry an identifier, and their answers are told apart

Cause: calls to stages carried no identifier, and send_call never asked whose the answer is. One surplus answer shifted all later ones of its connection by one.

Change: calls carry an identifier of their own, new each time, and go through gateway/exchange.rs as requests do. Back ends of stages that don't name it are told apart by their results: one that has come over this connection before is a repetition. After an answer that proves nothing the connection is closed, also after each page of the backend list. Types of calls moved to gateway/call_types.rs.

Tried first and not kept: closing the connection after each nameless answer to a call that frees results.

--- a/crates/daemon/src/gateway/batching.rs
+++ b/crates/daemon/src/gateway/batching.rs
@@ -1,6 +1,7 @@
 //! Orders that this node sends to shard owners, and orders that it batches as a shard owner.
 
 use crate::gateway::actor::GatewayActor;
+use crate::gateway::call_types::new_call_id;
 use crate::gateway::owners::OwnerAction;
 use crate::gateway::submitted_orders::OrderAnswer;
 use silversail_consensus::Millis;
@@ -397,7 +398,7 @@
         for call in calls {
             self.count_call_start(&call);
             let protocol = &self.setup.protocols.batches;
-            let request = protocol.run_call(&call.name, &call.pieces);
+            let request = protocol.run_call(new_call_id(), &call.name, &call.pieces);
             self.setup.calls.run_batch(call, request);
         }
     }
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -2,18 +2,18 @@
 //! The backend list is read in [`super::list_fetch`].
 
 use crate::event::{Event, EventSender};
+use crate::gateway::call_types::{CallAnswer, CallError, CallTarget, CalledBackend};
 use crate::gateway::event::GatewayEvent;
+use crate::gateway::exchange::{ExchangeClient, ExchangeError};
 use crate::gateway::notices::{NoticeRecorder, SendPermit};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use silversail_http::ConnectionPool;
 use silversail_model::traffic::CallerLimits;
 use silversail_peer::ResultHandle;
-use silversail_serving::answer_identity::ConnectionUse;
 use silversail_serving::batcher::{BatchCall, CallOutcome};
 use silversail_serving::crashes::{Probe, ProbeResult};
-use silversail_serving::instances::InstanceId;
-use silversail_serving::notices::{AnswerContext, ExchangeKind, UnavailableReason};
+use silversail_serving::notices::{AnswerContext, ExchangeKind};
 use silversail_serving::ports::{BackendCall, Protocols};
 use std::io;
 use std::sync::Arc;
@@ -51,66 +51,6 @@
     fn set_list_reader(&self, reads: bool);
 }
 
-/// Identity and address of the back end that a call goes to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CalledBackend {
-    /// Identifier in the backend list.
-    pub instance: InstanceId,
-    /// Host and port.
-    pub address: String,
-}
-
-/// Destination of a call that the gateway makes on its own behalf.
-pub enum CallTarget<'a> {
-    /// The source of the backend list.
-    ListSource {
-        /// Host and port.
-        address: &'a str,
-    },
-    /// A back end.
-    Backend {
-        /// Host and port.
-        address: &'a str,
-        /// Identifier in the backend list.
-        instance: &'a str,
-        /// Kind of exchange, for metrics and notices.
-        path: ExchangeKind,
-    },
-}
-
-impl CallTarget<'_> {
-    fn address(&self) -> &str {
-        match self {
-            CallTarget::ListSource { address } | CallTarget::Backend { address, .. } => address,
-        }
-    }
-}
-
-/// Answer to a call.
-pub struct CallAnswer {
-    /// HTTP status.
-    pub status: u16,
-    /// Whether the back end states that it did not execute the call.
-    pub not_run: bool,
-    /// The whole body.
-    pub body: Bytes,
-}
-
-/// Reason why a call returned no answer.
-#[derive(Debug, thiserror::Error)]
-pub enum CallError {
-    /// The call was not sent.
-    #[error("the call was not sent: {0}")]
-    NotSent(String),
-    /// The call was not sent because the back end asked for back-off, is draining or is out of
-    /// permits.
-    #[error("the call was not sent because the back end is {}", .0.name())]
-    BackendUnavailable(UnavailableReason),
-    /// The call was sent and may have been executed.
-    #[error("the call got no answer: {0}")]
-    NoAnswer(String),
-}
-
 /// Makes calls on the gateway's Tokio runtime.
 #[derive(Clone)]
 pub struct RuntimeCalls {
@@ -122,6 +62,8 @@
     pub protocols: Protocols,
     /// Records what back ends report about themselves.
     pub notice_recorder: NoticeRecorder,
+    /// Makes the exchanges.
+    pub exchanges: ExchangeClient,
     /// Channel to the gateway actor, for outcomes of calls.
     pub events: EventSender,
     /// Publishes the limits for callers to the HTTP service.
@@ -156,8 +98,10 @@
             };
             // Results that are not freed expire at the back end.
             let answer = calls.call(&target, request, CALL_TIMEOUT).await;
-            if answer.is_ok_and(|answer| answer.status == 200) {
+            let answer = answer.ok().filter(|answer| answer.head.status == 200);
+            if let Some(answer) = answer.filter(|answer| !calls.has_results(answer)) {
                 calls.send_event(GatewayEvent::ResultsFreed { handles });
+                answer.release_without_results();
             }
         });
     }
@@ -200,12 +144,25 @@
         let _ = self.events.send(Event::Gateway(event));
     }
 
+    /// Whether the answer is one to a batch call.
+    fn has_results(&self, answer: &CallAnswer) -> bool {
+        let batches = &self.protocols.batches;
+        batches.has_results(&answer.body)
+    }
+
     fn batch_outcome(&self, answer: Result<CallAnswer, CallError>, pieces: usize) -> CallOutcome {
         match answer {
-            Ok(answer) if answer.not_run => CallOutcome::NotRun,
-            Ok(answer) if answer.status == 200 => {
-                match self.protocols.batches.read_run(&answer.body, pieces) {
-                    Some(results) => CallOutcome::Answered(results),
+            Ok(answer) if answer.head.not_run => {
+                answer.release_connection();
+                CallOutcome::NotRun
+            }
+            Ok(mut answer) if answer.head.status == 200 => {
+                let results = self.protocols.batches.read_run(&answer.body, pieces);
+                match results.filter(|results| answer.is_identified_by(results)) {
+                    Some(results) => {
+                        answer.release_connection();
+                        CallOutcome::Answered(results)
+                    }
                     None => CallOutcome::Unknown,
                 }
             }
@@ -248,7 +205,7 @@
     ) -> Result<CallAnswer, CallError> {
         let address = target.address();
         let not_sent = |error: std::io::Error| CallError::NotSent(error.to_string());
-        let mut connection = match self.pool.take_idle(address, "") {
+        let connection = match self.pool.take_idle(address, &call.id) {
             Some(connection) => connection,
             None => {
                 let connecting = self.pool.connect(address, CONNECT_TIMEOUT);
@@ -262,14 +219,14 @@
                 return Err(error);
             }
         };
+        let exchange = target.exchange(&call.id);
         let request = build_request(address, &call);
         permit.iter_mut().for_each(SendPermit::spend);
-        let response = match connection.send(request, "").await {
-            Ok(response) => response,
-            Err(silversail_http::SendError::NotSent(_)) => {
+        let own = match self.exchanges.send(&exchange, connection, request).await {
+            Err(ExchangeError::NotSent(_)) => {
                 permit.iter_mut().for_each(SendPermit::unspend);
                 let connecting = self.pool.connect(address, CONNECT_TIMEOUT);
-                connection = connecting.await.map_err(not_sent)?;
+                let connection = connecting.await.map_err(not_sent)?;
                 permit = match permit.map(SendPermit::renew).transpose() {
                     Ok(permit) => permit,
                     Err(reason) => {
@@ -278,37 +235,29 @@
                     }
                 };
                 permit.iter_mut().for_each(SendPermit::spend);
-                let response = connection.send(build_request(address, &call), "").await;
-                response.map_err(|error| CallError::NoAnswer(error.to_string()))?
+                let request = build_request(address, &call);
+                self.exchanges.send(&exchange, connection, request).await?
             }
-            Err(error) => return Err(CallError::NoAnswer(error.to_string())),
+            exchanged => exchanged?,
         };
-        connection.apply_keep_alive(response.headers());
-        let status = response.status().as_u16();
-        let requests = &self.protocols.requests;
-        let head = requests.read_call_answer(status, response.headers(), "");
-        let head = head
-            .identify(ConnectionUse::default())
-            .map_err(|error| CallError::NoAnswer(error.to_string()))?;
         if let CallTarget::Backend { instance, path, .. } = target {
             let answer = AnswerContext {
                 path: *path,
                 permit: permit.as_ref().and_then(SendPermit::serial),
-                is_success: status == 200,
+                is_success: own.head.status == 200,
             };
             self.notice_recorder
-                .record_report(instance, answer, &head.report);
+                .record_report(instance, answer, &own.head.report);
         }
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let body = Limited::new(own.response.into_body(), MAX_ANSWER_BYTES);
         let body = body
             .collect()
             .await
             .map_err(|error| CallError::NoAnswer(error.to_string()))?;
-        connection.return_to_pool();
         Ok(CallAnswer {
-            status,
-            not_run: head.not_run,
+            head: own.head,
             body: body.to_bytes(),
+            connection: own.connection,
         })
     }
 }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,7 +1,7 @@
 //! One exchange over a connection to a back end or a peer. The only place that decides whose an
 //! answer is; all who send requests or calls get their own answer, or none.
 
-use crate::metrics::Metrics;
+use crate::gateway::notices::NoticeRecorder;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -12,54 +12,50 @@
 use silversail_serving::answer_identity::{ConnectionUse, EchoedId, ForeignAnswer, UncheckedHead};
 use silversail_serving::notices::ExchangeKind;
 use silversail_serving::ports::{AnswerHead, Protocols};
-use std::sync::Arc;
 
-/// Kind of an exchange with a peer, in logs and metrics.
-const FORWARD: &str = "forward";
-
-/// An exchange, as far as it is known before it is sent.
-#[derive(Clone, Copy, Debug)]
-pub struct Exchange<'a> {
-    /// Identifier of the request or call; empty if it has none.
-    pub id: &'a str,
-    /// Identifier of the back end or peer.
-    pub backend: &'a str,
-    /// Whether it carries a caller's request; otherwise a call of this node.
-    pub is_request: bool,
-    /// Kind of the exchange, for logs and metrics.
-    pub path: &'static str,
+/// With whom an exchange is made, and for whom.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExchangeRole {
+    /// A caller's request to a back end.
+    Request,
+    /// A caller's request to a peer.
+    Forward,
+    /// A call of this node to a back end.
+    Call(ExchangeKind),
+    /// A call of this node to the source of the backend list.
+    List,
 }
 
-impl<'a> Exchange<'a> {
-    /// A caller's request to a back end.
-    pub fn request(id: &'a str, backend: &'a str) -> Self {
-        Self {
-            id,
-            backend,
-            is_request: true,
-            path: ExchangeKind::Request.name(),
+impl ExchangeRole {
+    /// Label value in logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            ExchangeRole::Request => ExchangeKind::Request.name(),
+            ExchangeRole::Forward => "forward",
+            ExchangeRole::Call(kind) => kind.name(),
+            ExchangeRole::List => "list",
         }
     }
 
-    /// A caller's request to a peer.
-    pub fn forward(id: &'a str, peer: &'a str) -> Self {
-        Self {
-            id,
-            backend: peer,
-            is_request: true,
-            path: FORWARD,
+    /// Kind of the exchange with a back end; none with others.
+    fn backend_kind(self) -> Option<ExchangeKind> {
+        match self {
+            ExchangeRole::Request => Some(ExchangeKind::Request),
+            ExchangeRole::Call(kind) => Some(kind),
+            ExchangeRole::Forward | ExchangeRole::List => None,
         }
     }
+}
 
-    /// A call of this node.
-    pub fn call(id: &'a str, backend: &'a str, path: &'static str) -> Self {
-        Self {
-            id,
-            backend,
-            is_request: false,
-            path,
-        }
-    }
+/// An exchange, as far as it is known before it is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Exchange<'a> {
+    /// Identifier of the request or call; empty if it has none.
+    pub id: &'a str,
+    /// Identifier of the back end or peer.
+    pub target: &'a str,
+    /// With whom and for whom it is made.
+    pub role: ExchangeRole,
 }
 
 /// The answer to the request of an exchange.
@@ -101,10 +97,10 @@
 pub struct ExchangeClient {
     /// Adapters for the external protocols.
     pub protocols: Protocols,
+    /// Records what back ends report about themselves.
+    pub notice_recorder: NoticeRecorder,
     /// Decision log of the process.
     pub log: DecisionLog,
-    /// Metrics of the process.
-    pub metrics: Arc<Metrics>,
 }
 
 impl ExchangeClient {
@@ -129,7 +125,13 @@
         });
         let identified = identified.map_err(Box::new);
         self.record(exchange, &connection, &identified);
-        let head = identified.map_err(ExchangeError::Foreign)?;
+        let head = match identified {
+            Ok(head) => head,
+            Err(foreign) => {
+                self.record_report(exchange, &foreign);
+                return Err(ExchangeError::Foreign(foreign));
+            }
+        };
         // A repetition of an answer without an identifier could not be told from a later answer.
         connection.set_reusable(head.is_named);
         Ok(OwnAnswer {
@@ -139,6 +141,15 @@
         })
     }
 
+    /// Records what another request's answer reports about its back end. The connection does not
+    /// outlive the back end's process.
+    fn record_report(&self, exchange: &Exchange<'_>, foreign: &ForeignAnswer) {
+        if let Some(kind) = exchange.role.backend_kind() {
+            let recorder = &self.notice_recorder;
+            recorder.record_report(exchange.target, kind, &foreign.report);
+        }
+    }
+
     fn read_head(
         &self,
         exchange: &Exchange<'_>,
@@ -146,9 +157,13 @@
         headers: &HeaderMap,
     ) -> UncheckedHead {
         let protocol = &self.protocols.requests;
-        match exchange.is_request {
-            true => protocol.read_answer(status, headers, exchange.id),
-            false => protocol.read_call_answer(status, headers, exchange.id),
+        match exchange.role {
+            ExchangeRole::Request | ExchangeRole::Forward => {
+                protocol.read_answer(status, headers, exchange.id)
+            }
+            ExchangeRole::Call(_) | ExchangeRole::List => {
+                protocol.read_call_answer(status, headers, exchange.id)
+            }
         }
     }
 
@@ -165,18 +180,19 @@
             Ok(head) => (EchoedId::Absent, head.status, head.not_run),
             Err(foreign) => (foreign.echoed, foreign.status, foreign.says_not_run),
         };
-        let labels = [echoed.name(), exchange.path];
-        let counter = &self.metrics.answer_identities;
+        let labels = [echoed.name(), exchange.role.name()];
+        let counter = &self.notice_recorder.metrics.answer_identities;
         counter.with_label_values(&labels).inc();
-        let is_expected = echoed == EchoedId::Own || !exchange.is_request;
+        let is_call = matches!(exchange.role, ExchangeRole::Call(_) | ExchangeRole::List);
+        let is_expected = echoed == EchoedId::Own || is_call;
         if identified.is_ok() && is_expected && !says_not_run {
             return;
         }
         let previous = connection.previous_exchange();
         self.log.record(Event::AnswerChecked {
             request: exchange.id.to_owned(),
-            backend: exchange.backend.to_owned(),
-            path: exchange.path.to_owned(),
+            backend: exchange.target.to_owned(),
+            path: exchange.role.name().to_owned(),
             status,
             says_not_run,
             echoed: echoed.name().to_owned(),
--- a/crates/daemon/src/gateway/forwarding.rs
+++ b/crates/daemon/src/gateway/forwarding.rs
@@ -5,7 +5,7 @@
 
 use crate::clock;
 use crate::gateway::calls::CONNECT_TIMEOUT;
-use crate::gateway::exchange::{Exchange, ExchangeError, OwnAnswer};
+use crate::gateway::exchange::{Exchange, ExchangeError, ExchangeRole, OwnAnswer};
 use crate::gateway::request_sender::{
     is_long, until_deadline, with_headers, FailedSend, ReceivedAnswer, RequestSender, SendResult,
     StreamCallbacks, NOT_RUN_STATUSES,
@@ -76,7 +76,11 @@
         id: &str,
         plan: &ForwardPlan,
     ) -> Result<OwnAnswer, FailedSend> {
-        let exchange = Exchange::forward(id, plan.node.as_str());
+        let exchange = Exchange {
+            id,
+            target: plan.node.as_str(),
+            role: ExchangeRole::Forward,
+        };
         if let Some(connection) = self.pool.take_idle(&plan.address, id) {
             let outgoing = self.forwarded_request(request, plan);
             match self.exchanges.send(&exchange, connection, outgoing).await {
--- a/crates/daemon/src/gateway/list_fetch.rs
+++ b/crates/daemon/src/gateway/list_fetch.rs
@@ -1,6 +1,7 @@
 //! Reads the backend list page by page while this node is its reader.
 
-use crate::gateway::calls::{CallTarget, RuntimeCalls};
+use crate::gateway::call_types::CallTarget;
+use crate::gateway::calls::RuntimeCalls;
 use crate::gateway::event::{GatewayEvent, ListRead};
 use crate::settings::GatewaySettings;
 use silversail_serving::ports::{BackendListEntry, ListPage};
@@ -133,16 +134,16 @@
         let call = self.protocols.list.list_call(page);
         let source = CallTarget::ListSource { address };
         match self.call(&source, call, PAGE_TIMEOUT).await {
-            Ok(answer) if answer.status == 200 => {
+            Ok(answer) if answer.head.status == 200 => {
                 match self.protocols.list.read_list(&answer.body) {
                     Some(page) => PageResult::Page(page),
                     None => PageResult::Failed(ListError::MalformedPage),
                 }
             }
-            Ok(answer) if answer.status == 429 || answer.status >= 500 => {
-                PageResult::Refused(format!("status {}", answer.status))
+            Ok(answer) if answer.head.status == 429 || answer.head.status >= 500 => {
+                PageResult::Refused(format!("status {}", answer.head.status))
             }
-            Ok(answer) => PageResult::Failed(ListError::Status(answer.status)),
+            Ok(answer) => PageResult::Failed(ListError::Status(answer.head.status)),
             Err(error) => PageResult::Refused(error.to_string()),
         }
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod actor;
 pub mod allowed_locations;
 mod batching;
+pub mod call_types;
 pub mod callers;
 pub mod calls;
 mod crashes;
--- a/crates/daemon/src/gateway/request_sender.rs
+++ b/crates/daemon/src/gateway/request_sender.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::{self, Clock};
 use crate::gateway::calls::CONNECT_TIMEOUT;
-use crate::gateway::exchange::{Exchange, ExchangeClient, ExchangeError, OwnAnswer};
+use crate::gateway::exchange::{Exchange, ExchangeClient, ExchangeError, ExchangeRole, OwnAnswer};
 use crate::gateway::forwarding::FORWARDED;
 use crate::gateway::notices::NoticeRecorder;
 use bytes::Bytes;
@@ -14,7 +14,7 @@
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use silversail_http::{
-    AnswerBody, Connection, ConnectionPool, IncomingRequest, OutgoingBody, RelayBody, RelayOutcome,
+    AnswerBody, ConnectionPool, IncomingRequest, OutgoingBody, RelayBody, RelayOutcome,
 };
 use silversail_limits::Serial;
 use silversail_model::AnswerEnd;
@@ -168,14 +168,18 @@
         id: &str,
         plan: &SendPlan,
     ) -> Result<(OwnAnswer, Option<Serial>), FailedSend> {
-        let exchange = Exchange::request(id, &plan.instance);
+        let exchange = Exchange {
+            id,
+            target: &plan.instance,
+            role: ExchangeRole::Request,
+        };
         let mut permit = self
             .notice_recorder
             .admit(&plan.instance, ExchangeKind::Request)?;
         if let Some(connection) = self.pool.take_idle(&plan.address, id) {
             permit.spend();
             let outgoing = self.build_request(request, plan);
-            match self.exchange(&exchange, connection, outgoing).await {
+            match self.exchanges.send(&exchange, connection, outgoing).await {
                 Ok(own) => return Ok((own, permit.serial())),
                 // The back end had closed the idle connection before the request was sent.
                 Err(ExchangeError::NotSent(_)) => permit.unspend(),
@@ -195,29 +199,13 @@
         };
         permit.spend();
         let outgoing = self.build_request(request, plan);
-        let exchanged = self.exchange(&exchange, connection, outgoing).await;
+        let exchanged = self.exchanges.send(&exchange, connection, outgoing).await;
         if matches!(exchanged, Err(ExchangeError::NotSent(_))) {
             permit.unspend();
         }
         Ok((exchanged?, permit.serial()))
     }
 
-    /// Makes an exchange with a back end. What another request's answer reports about the back end
-    /// counts: the connection does not outlive its process.
-    async fn exchange(
-        &self,
-        exchange: &Exchange<'_>,
-        connection: Connection,
-        outgoing: Request<Full<Bytes>>,
-    ) -> Result<OwnAnswer, ExchangeError> {
-        let exchanged = self.exchanges.send(exchange, connection, outgoing).await;
-        if let Err(ExchangeError::Foreign(foreign)) = &exchanged {
-            let recorder = &self.notice_recorder;
-            recorder.record_report(exchange.backend, ExchangeKind::Request, &foreign.report);
-        }
-        exchanged
-    }
-
     /// Time left until a deadline.
     pub(super) fn time_left(&self, end: Millis) -> Duration {
         let deadline = self.clock.instant(end);
--- a/crates/daemon/src/gateway/result_freeing.rs
+++ b/crates/daemon/src/gateway/result_freeing.rs
@@ -2,7 +2,7 @@
 //! are rate-limited.
 
 use crate::gateway::actor::GatewayActor;
-use crate::gateway::calls::CalledBackend;
+use crate::gateway::call_types::{new_call_id, CalledBackend};
 use silversail_consensus::Millis;
 use silversail_peer::ResultHandle;
 use silversail_serving::instances::{Instance, InstanceId};
@@ -69,7 +69,8 @@
                 FreeTiming::Later => self.delayed_frees.add(&instance, handles),
                 FreeTiming::Never => {}
                 FreeTiming::Now => {
-                    let request = self.setup.protocols.batches.free_call(&handles);
+                    let protocol = &self.setup.protocols.batches;
+                    let request = protocol.free_call(new_call_id(), &handles);
                     let target = CalledBackend { instance, address };
                     self.setup.calls.free(target, handles, request);
                 }
--- a/crates/daemon/src/gateway/runtime.rs
+++ b/crates/daemon/src/gateway/runtime.rs
@@ -46,6 +46,7 @@
             pool: ConnectionPool::new(),
             protocols: protocols.clone(),
             notice_recorder: notice_recorder.clone(),
+            exchanges: exchanges.clone(),
             events: events.clone(),
             limits: Arc::new(limits),
             is_list_reader: Arc::new(watch::channel(false).0),
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -73,8 +73,8 @@
             let listener = listener(notices.clone());
             let exchanges = ExchangeClient {
                 protocols: parts.protocols.clone(),
+                notice_recorder: listener.clone(),
                 log: log.clone(),
-                metrics: metrics.clone(),
             };
             let protocols = &parts.protocols;
             let started = start_gateway(gateway, protocols, &events, listener, exchanges)?;
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -235,6 +235,8 @@
 /// An HTTP call to a back end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BackendCall {
+    /// Identifier that the answer should name; empty for none.
+    pub id: String,
     /// HTTP method.
     pub method: Method,
     /// Path with query.
@@ -250,15 +252,18 @@
 
 /// Codec for calls to batch stages.
 pub trait BatchProtocol: Send + Sync {
-    /// Builds the call that runs `pieces` at the back end `instance`. Each piece comes with its
-    /// remaining time in milliseconds.
-    fn run_call(&self, instance: &str, pieces: &[(Piece, u64)]) -> BackendCall;
+    /// Builds the call `id` that runs `pieces` at the back end `instance`. Each piece comes with
+    /// its remaining time in milliseconds.
+    fn run_call(&self, id: String, instance: &str, pieces: &[(Piece, u64)]) -> BackendCall;
 
     /// Parses the answer to a call with `pieces` pieces; none if it is malformed or incomplete.
     fn read_run(&self, body: &[u8], pieces: usize) -> Option<PieceResults>;
 
-    /// Builds the call that frees results.
-    fn free_call(&self, handles: &[ResultHandle]) -> BackendCall;
+    /// Whether a body is that of an answer to a batch call.
+    fn has_results(&self, body: &[u8]) -> bool;
+
+    /// Builds the call `id` that frees results.
+    fn free_call(&self, id: String, handles: &[ResultHandle]) -> BackendCall;
 
     /// Address of the back end that holds a result.
     fn maker_address<'a>(&self, handle: &'a ResultHandle) -> &'a str;
