A back end that leaves is asked too whether it has ended amid its answer

Cause: where only the end of the connection tells the end of an answer, the back end is asked whether it still accepts connections, but for one that had said that it leaves. One that is taken away amid its streams looks the same as one that has finished them.

Change: it is asked.

--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -79,7 +79,7 @@
         Box::pin(async move { service.serve(request).await })
     }
 
-    fn reject(&self, reason: RejectReason, _head: Parts) -> ServedResponse {
+    fn reject(&self, reason: RejectReason, head: Parts) -> ServedResponse {
         let code = match reason {
             RejectReason::BodyTooLarge => ResultCode::BodyTooLarge,
             RejectReason::BodyTimeout => ResultCode::SlowRequest,
@@ -91,7 +91,10 @@
         let refusals = &self.request_sender.notice_recorder.metrics.refusals;
         refusals.with_label_values(&[code.reason()]).inc();
         let retry_after = (code == ResultCode::TooManyRequests).then_some(BODY_MEMORY_RETRY_AFTER);
-        Ok(self.local_response("", code, retry_after))
+        let protocol = &self.request_sender.protocols.requests;
+        let call = protocol.read_request(&head.uri, &head.headers);
+        let id = call.map(|call| call.id).unwrap_or_default();
+        Ok(self.local_response(&id, code, retry_after))
     }
 
     fn limits(&self) -> ServiceLimits {
--- a/crates/daemon/src/gateway/forwarding.rs
+++ b/crates/daemon/src/gateway/forwarding.rs
@@ -60,7 +60,7 @@
                 return Err(SendOutcome::NotRun(NotRunReason::Refused).into());
             }
             let is_streamed = plan.is_stream || is_long(own.response.headers());
-            let answer = ReceivedAnswer::new(own, false)?;
+            let answer = ReceivedAnswer::new(own)?;
             match is_streamed {
                 true => Ok(answer.stream(callbacks, deadline)),
                 false => answer.buffer().await,
--- a/crates/daemon/src/gateway/request_sender.rs
+++ b/crates/daemon/src/gateway/request_sender.rs
@@ -148,12 +148,7 @@
             return Err(FailedSend { outcome, load });
         }
         let is_streamed = plan.is_stream || is_long(own.response.headers());
-        let is_leaving = self
-            .notice_recorder
-            .notices
-            .of(&plan.instance)
-            .is_draining();
-        let answer = ReceivedAnswer::new(own, is_leaving)?;
+        let answer = ReceivedAnswer::new(own)?;
         match is_streamed {
             true => Ok(answer.stream(callbacks, deadline)),
             false => answer.buffer().await,
@@ -330,10 +325,9 @@
 }
 
 impl ReceivedAnswer {
-    /// Prepares an answer for the caller. `is_leaving` tells whether the back end is expected to
-    /// end after it.
-    pub(super) fn new(own: OwnAnswer, is_leaving: bool) -> Result<Self, FailedSend> {
-        let (mut parts, body) = AnswerBody::new(own.response, own.connection, is_leaving)
+    /// Prepares an answer for the caller.
+    pub(super) fn new(own: OwnAnswer) -> Result<Self, FailedSend> {
+        let (mut parts, body) = AnswerBody::new(own.response, own.connection)
             .map_err(|_| FailedSend::from(SendOutcome::Unknown(UnknownReason::Garbled)))?;
         strip_connection_headers(&mut parts.headers);
         let load = own.head.report.load;
--- a/crates/http/src/answer_body.rs
+++ b/crates/http/src/answer_body.rs
@@ -41,16 +41,12 @@
     framing: Framing,
     /// For streams of events.
     scanner: Option<EventStreamScanner>,
-    /// Whether to ask whether the back end still accepts connections where only the end of the
-    /// connection tells the end of the answer.
-    checks_peer: bool,
     /// Resolves to whether the back end's process is gone.
     peer_check: Option<PeerCheck>,
 }
 
 impl AnswerBody {
-    /// Separates the body of an answer that was received over `connection` from its head. A back
-    /// end that is known to be leaving is not asked whether it still runs.
+    /// Separates the body of an answer that was received over `connection` from its head.
     ///
     /// # Errors
     ///
@@ -58,7 +54,6 @@
     pub fn new(
         response: Response<Incoming>,
         connection: Connection,
-        is_leaving: bool,
     ) -> Result<(hyper::http::response::Parts, Self), AmbiguousFraming> {
         let framing = Framing::of_answer(response.status(), response.headers())?;
         let scanner = new_scanner(response.headers(), framing);
@@ -68,7 +63,6 @@
             connection: Some(connection),
             framing,
             scanner,
-            checks_peer: framing == Framing::Connection && !is_leaving,
             peer_check: None,
         };
         Ok((parts, body))
@@ -143,7 +137,6 @@
                 Some(AnswerEnd::WithoutEvents)
             }
             _ if is_delimited => Some(AnswerEnd::Whole),
-            _ if !self.checks_peer => Some(AnswerEnd::WholeByClose),
             _ => None,
         }
     }
--- a/crates/http/tests/slow_peers.rs
+++ b/crates/http/tests/slow_peers.rs
@@ -110,7 +110,7 @@
             let request = request.body(Full::default()).expect("valid");
             let sent = connection.send(request, "r").await;
             let response = sent.map_err(std::io::Error::other)?;
-            let answer = AnswerBody::new(response, connection, false);
+            let answer = AnswerBody::new(response, connection);
             let (parts, body) = answer.map_err(std::io::Error::other)?;
             let end = Instant::now() + TIMEOUT;
             let body = RelayBody::new(body, end, |_| {});
