A reset while a back end is asked whether it has ended is asked again

Cause: a connection that is reset while it is opened counted as a back end that runs, as back ends reset connections that are too many. A process that is just being ended resets them too: the three streams ended as complete 1 to 3 ms after their engine was ended, while the check of a running one takes 20 ms.

Change: it is asked again after 20 ms; refused means gone.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -333,15 +333,17 @@
         match self.connect(address, PEER_CHECK_TIMEOUT).await {
             Ok(connection) if connection.stays_open(PEER_CHECK_OPEN_FOR).await => {
                 connection.return_to_pool();
-                false
+                return false;
             }
             // Its listening socket may have been closed just after this connection was accepted.
-            Ok(_) => {
-                let again = self.connect(address, PEER_CHECK_TIMEOUT).await;
-                again.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+            Ok(_) => {}
+            Err(error) if error.kind() == io::ErrorKind::ConnectionReset => {
+                tokio::time::sleep(PEER_CHECK_OPEN_FOR).await;
             }
-            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Err(error) => return error.kind() == io::ErrorKind::ConnectionRefused,
         }
+        let again = self.connect(address, PEER_CHECK_TIMEOUT).await;
+        again.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
     /// Closes idle connections that have expired or been closed by the back end.
