A back end that is being ended on a busy machine is asked longer and more often

Suspected: the kernel closes a killed process's streams before its listening socket; on a busy machine more than 20 ms may lie between the two, and errors other than a reset counted as a back end that runs.

Change: after a stream, whose events have been passed on, the connection has to stay open for 100 ms (20 ms else, as before); one that is closed, reset or fails in another way is followed by up to three more.

--- a/crates/http/src/answer_body.rs
+++ b/crates/http/src/answer_body.rs
@@ -91,8 +91,9 @@
                     if let Some(end) = self.end_by_content() {
                         return self.finish(end);
                     }
+                    let is_stream = self.scanner.is_some();
                     let connection = self.connection.as_ref();
-                    self.peer_check = connection.map(Connection::peer_check);
+                    self.peer_check = connection.map(|connection| connection.peer_check(is_stream));
                 }
             }
         }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -34,9 +34,16 @@
 const RECEIVE_BUFFER: u32 = 32 << 10;
 /// Maximum wait for a connection that shows whether a back end still runs.
 const PEER_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which that connection must stay open: one that the machine accepted for a process that
-/// is ending is closed at once.
+/// Time for which that connection must stay open after an answer that is not a stream: one that the
+/// machine accepted for a process that is ending is closed at once.
 const PEER_CHECK_OPEN_FOR: Duration = Duration::from_millis(20);
+/// The same after a stream, whose events have been passed on. A busy machine takes longer to end a
+/// process.
+const PEER_CHECK_OPEN_FOR_STREAM: Duration = Duration::from_millis(100);
+/// Pause before a back end is asked again that closed the connection.
+const PEER_CHECK_PAUSE: Duration = Duration::from_millis(20);
+/// Maximum number of connections of a check.
+const MAX_PEER_CHECKS: usize = 4;
 /// Maximum number of idle connections to one back end.
 const MAX_IDLE_PER_BACKEND: usize = 16;
 /// Maximum number of requests on one connection, which bounds the record of what it carried.
@@ -201,12 +208,19 @@
 
     /// Finds out whether the back end's process is gone, which shows by refused connections. A back
     /// end that cannot be asked counts as running.
-    pub(crate) fn peer_check(&self) -> Pin<Box<dyn Future<Output = bool> + Send + Sync>> {
+    pub(crate) fn peer_check(
+        &self,
+        is_stream: bool,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + Sync>> {
+        let open_for = match is_stream {
+            true => PEER_CHECK_OPEN_FOR_STREAM,
+            false => PEER_CHECK_OPEN_FOR,
+        };
         let pool = ConnectionPool {
             shared: self.pool.clone(),
         };
         let address = self.address.clone();
-        Box::pin(async move { pool.is_peer_gone(&address).await })
+        Box::pin(async move { pool.is_peer_gone(&address, open_for).await })
     }
 
     /// Whether the current request or one before it is this.
@@ -329,21 +343,22 @@
         })
     }
 
-    async fn is_peer_gone(&self, address: &str) -> bool {
-        match self.connect(address, PEER_CHECK_TIMEOUT).await {
-            Ok(connection) if connection.stays_open(PEER_CHECK_OPEN_FOR).await => {
-                connection.return_to_pool();
-                return false;
-            }
-            // Its listening socket may have been closed just after this connection was accepted.
-            Ok(_) => {}
-            Err(error) if error.kind() == io::ErrorKind::ConnectionReset => {
-                tokio::time::sleep(PEER_CHECK_OPEN_FOR).await;
+    /// Whether connections to `address` are refused. One that stays open for `open_for`, or silence,
+    /// shows that they are not; one that is closed or reset shows nothing, as the listening socket of
+    /// an ending process may be closed just after a connection was accepted.
+    async fn is_peer_gone(&self, address: &str, open_for: Duration) -> bool {
+        for _ in 0..MAX_PEER_CHECKS {
+            match self.connect(address, PEER_CHECK_TIMEOUT).await {
+                Ok(connection) if connection.stays_open(open_for).await => {
+                    connection.return_to_pool();
+                    return false;
+                }
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
+                Err(error) if error.kind() == io::ErrorKind::TimedOut => return false,
+                Ok(_) | Err(_) => tokio::time::sleep(PEER_CHECK_PAUSE).await,
             }
-            Err(error) => return error.kind() == io::ErrorKind::ConnectionRefused,
         }
-        let again = self.connect(address, PEER_CHECK_TIMEOUT).await;
-        again.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+        false
     }
 
     /// Closes idle connections that have expired or been closed by the back end.
