Decision log: one line for each call that frees results

The incident on Parkovne Brno could not tell such a call from a caller's request that was changed on its way: the calls left no line. free_ended names the call, the back end that was meant, its address and the outcome. No logic is changed.

--- a/crates/daemon/src/gateway/call_types.rs
+++ b/crates/daemon/src/gateway/call_types.rs
@@ -96,6 +96,31 @@
     }
 }
 
+/// Outcome of a call that frees results.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum FreeOutcome {
+    /// The back end has freed them.
+    Freed,
+    /// It answered with another status than 200.
+    Status(u16),
+    /// The answer is one to another call.
+    OtherAnswer,
+    /// No answer arrived, for this reason.
+    NoAnswer(String),
+}
+
+impl FreeOutcome {
+    /// Value in the decision log.
+    pub(super) fn name(&self) -> String {
+        match self {
+            FreeOutcome::Freed => "freed".to_owned(),
+            FreeOutcome::Status(status) => format!("status_{status}"),
+            FreeOutcome::OtherAnswer => "other_answer".to_owned(),
+            FreeOutcome::NoAnswer(reason) => reason.clone(),
+        }
+    }
+}
+
 /// Reason why a call returned no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -2,12 +2,13 @@
 //! The backend list is read in [`super::list_fetch`].
 
 use crate::event::{Event, EventSender};
-use crate::gateway::call_types::{CallAnswer, CallError, CallTarget, CalledBackend};
+use crate::gateway::call_types::{CallAnswer, CallError, CallTarget, CalledBackend, FreeOutcome};
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::exchange::{ExchangeClient, ExchangeError};
 use crate::gateway::notices::{NoticeRecorder, SendPermit};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use silversail_decisions::Event as LogEvent;
 use silversail_http::ConnectionPool;
 use silversail_model::traffic::CallerLimits;
 use silversail_peer::ResultHandle;
@@ -96,12 +97,19 @@
                 instance: &backend.instance,
                 path: ExchangeKind::Free,
             };
+            let call = request.id.clone();
             // Results that are not freed expire at the back end.
             let answer = calls.call(&target, request, CALL_TIMEOUT).await;
-            let answer = answer.ok().filter(|answer| answer.head.status == 200);
-            if let Some(answer) = answer.filter(|answer| !calls.has_results(answer)) {
+            let outcome = calls.free_outcome(answer);
+            calls.exchanges.log.record(LogEvent::FreeEnded {
+                call,
+                backend: backend.instance.clone(),
+                address: backend.address.clone(),
+                results: handles.len(),
+                outcome: outcome.name(),
+            });
+            if outcome == FreeOutcome::Freed {
                 calls.send_event(GatewayEvent::ResultsFreed { handles });
-                answer.release_without_results();
             }
         });
     }
@@ -150,6 +158,18 @@
         batches.has_results(&answer.body)
     }
 
+    fn free_outcome(&self, answer: Result<CallAnswer, CallError>) -> FreeOutcome {
+        match answer {
+            Ok(answer) if answer.head.status != 200 => FreeOutcome::Status(answer.head.status),
+            Ok(answer) if self.has_results(&answer) => FreeOutcome::OtherAnswer,
+            Ok(answer) => {
+                answer.release_without_results();
+                FreeOutcome::Freed
+            }
+            Err(error) => FreeOutcome::NoAnswer(error.to_string()),
+        }
+    }
+
     fn batch_outcome(&self, answer: Result<CallAnswer, CallError>, pieces: usize) -> CallOutcome {
         match answer {
             Ok(answer) if answer.head.not_run => {
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -137,6 +137,20 @@
         /// Duration in milliseconds.
         took_ms: u64,
     },
+    /// A call that frees results at a back end ended.
+    FreeEnded {
+        /// Identifier of the call.
+        call: String,
+        /// Back end that the call was meant for.
+        backend: String,
+        /// Address that it was sent to.
+        address: String,
+        /// Number of results that it named.
+        results: usize,
+        /// `freed`, or why they may not be: `status_` and the HTTP status, `other_answer`, or the
+        /// reason why there was no answer.
+        outcome: String,
+    },
     /// A request was sent to an engine.
     Sent {
         /// Request identifier sent by the caller.
--- a/crates/decisions/src/event_class.rs
+++ b/crates/decisions/src/event_class.rs
@@ -22,7 +22,8 @@
             | Event::Sent { .. }
             | Event::Forwarded { .. }
             | Event::BatchSent { .. }
-            | Event::BatchEnded { .. } => EventClass::RequestStep,
+            | Event::BatchEnded { .. }
+            | Event::FreeEnded { .. } => EventClass::RequestStep,
             Event::PhaseDone { outcome, .. } if outcome == "made" => EventClass::RequestStep,
             Event::Answered { end, status, .. } if is_whole(end) && *status < 400 => {
                 EventClass::RequestStep
