Results are freed at the back end that made them, by its name

Operators saw (UNASKED, Parkovne Brno): an engine ran two requests that no client had sent.

Cause: a node that frees results looked up the address in the handle in its own table and called whoever stands there now, without naming whom it means. Once a batch back end had crashed and its address had passed to an engine, the engine got the call, and as calls carry an identifier since it ran it. The table is right or late; both lead there.

Change: the batcher keeps the maker of each result and frees it by that identity; the call names the maker, as calls that run pieces do, so that any other back end turns it away. A node asks the node that batched an order to free its results, not the one that owns the shard now: only the former knows the makers. No message changes. Results whose batching node is gone expire by themselves (handle_ttl_s). A 421 tells the table that the back end has ended.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -8,7 +8,7 @@
 use crate::gateway::event::{Decision, GatewayEvent};
 use crate::gateway::owners::OwnerMonitor;
 use crate::gateway::reachability::BackendPartition;
-use crate::gateway::result_freeing::DelayedFrees;
+use crate::gateway::result_freeing::{DelayedFrees, ResultOwners};
 use crate::gateway::send_metrics::outcome_label;
 use crate::gateway::startup_queue::{QueuedRequest, StartupQueue};
 use crate::gateway::state_updates::LocalListReads;
@@ -119,6 +119,7 @@
     pub(super) announced_to: BTreeMap<WorkId, NodeName>,
     /// Results to free once the back-off of their back ends ends.
     pub(super) delayed_frees: DelayedFrees,
+    pub(super) result_owners: ResultOwners,
     pub(super) wait_estimates_sent_at: Millis,
     pub(super) remote_wait_estimates_sent_at: Millis,
     /// Wait estimates of local shards, with the time of their computation.
@@ -186,6 +187,7 @@
             shard_owners: BTreeMap::new(),
             announced_to: BTreeMap::new(),
             delayed_frees: DelayedFrees::default(),
+            result_owners: ResultOwners::default(),
             wait_estimates_sent_at: 0,
             remote_wait_estimates_sent_at: 0,
             local_wait_estimates: BTreeMap::new(),
@@ -269,6 +271,7 @@
         self.place_waiting_orders(now);
         self.start_batch_calls(now);
         self.request_permits(now);
+        self.result_owners.expire(now);
         self.free_delayed_results(now);
         self.free_results(now);
     }
@@ -330,6 +333,10 @@
                 self.handle_probe_result(&instance, result, now)
             }
             GatewayEvent::ResultsFreed { handles } => self.batcher.results_freed(&handles),
+            GatewayEvent::AddressMismatch { instance } => {
+                let instances = &mut self.dispatcher.instances;
+                instances.record_address_mismatch(&instance, now);
+            }
             GatewayEvent::BackendListRead(read) => self.handle_list_read(cx, read, now),
             GatewayEvent::BackendListFailed(reason) => self.handle_list_failure(&reason),
             GatewayEvent::SurfaceRequested { request, reply } => {
@@ -483,7 +490,7 @@
                 } => self.announce_order(work, order, &regions, now),
                 Action::Diagnose { broken } => self.handle_connection_loss(broken, now),
                 Action::Cancel { work } => self.cancel_order(work),
-                Action::Release { service, handles } => self.release_results(&service, handles),
+                Action::Release { handles, .. } => self.release_results(handles),
             }
         }
     }
--- a/crates/daemon/src/gateway/batching.rs
+++ b/crates/daemon/src/gateway/batching.rs
@@ -340,6 +340,9 @@
             self.release_results_at(owner, result.unwrap_or_default());
             return;
         }
+        if let Ok(handles) = &result {
+            self.result_owners.record(handles, owner, now);
+        }
         let actions = self.dispatcher.phase_done(work, result, now);
         self.apply_actions(actions, now);
     }
--- a/crates/daemon/src/gateway/call_types.rs
+++ b/crates/daemon/src/gateway/call_types.rs
@@ -101,6 +101,8 @@
 pub(super) enum FreeOutcome {
     /// The back end has freed them.
     Freed,
+    /// Another back end answered at its address.
+    AddressMismatch,
     /// It answered with another status than 200.
     Status(u16),
     /// The answer is one to another call.
@@ -114,6 +116,7 @@
     pub(super) fn name(&self) -> String {
         match self {
             FreeOutcome::Freed => "freed".to_owned(),
+            FreeOutcome::AddressMismatch => "address_mismatch".to_owned(),
             FreeOutcome::Status(status) => format!("status_{status}"),
             FreeOutcome::OtherAnswer => "other_answer".to_owned(),
             FreeOutcome::NoAnswer(reason) => reason.clone(),
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -34,6 +34,8 @@
 const PROBE_OPEN_FOR: Duration = Duration::from_millis(100);
 /// Maximum size of an answer to such a call, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// Status of the answer of a back end that is not the one that the call names.
+const MISDIRECTED: u16 = 421;
 /// Makes calls to back ends and reports their outcomes as events.
 pub trait GatewayCalls {
     /// Starts a batch call.
@@ -108,8 +110,13 @@
                 results: handles.len(),
                 outcome: outcome.name(),
             });
-            if outcome == FreeOutcome::Freed {
-                calls.send_event(GatewayEvent::ResultsFreed { handles });
+            match outcome {
+                FreeOutcome::Freed => calls.send_event(GatewayEvent::ResultsFreed { handles }),
+                FreeOutcome::AddressMismatch => {
+                    let instance = backend.instance;
+                    calls.send_event(GatewayEvent::AddressMismatch { instance });
+                }
+                FreeOutcome::Status(_) | FreeOutcome::OtherAnswer | FreeOutcome::NoAnswer(_) => {}
             }
         });
     }
@@ -160,6 +167,7 @@
 
     fn free_outcome(&self, answer: Result<CallAnswer, CallError>) -> FreeOutcome {
         match answer {
+            Ok(answer) if answer.head.status == MISDIRECTED => FreeOutcome::AddressMismatch,
             Ok(answer) if answer.head.status != 200 => FreeOutcome::Status(answer.head.status),
             Ok(answer) if self.has_results(&answer) => FreeOutcome::OtherAnswer,
             Ok(answer) => {
--- a/crates/daemon/src/gateway/event.rs
+++ b/crates/daemon/src/gateway/event.rs
@@ -89,6 +89,11 @@
         /// Handles of the freed results.
         handles: Vec<ResultHandle>,
     },
+    /// Another back end answered at a back end's address.
+    AddressMismatch {
+        /// Identifier of the back end that was called.
+        instance: String,
+    },
     /// The backend list was read completely.
     BackendListRead(ListRead),
     /// The backend list could not be read; carries the reason.
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -8,9 +8,9 @@
 use silversail_decisions::Event as LogEvent;
 use silversail_model::topology::RegionFilter;
 use silversail_model::{Distance, NodeName, Shard};
-use silversail_peer::{PhaseWork, ResultHandle, ShardWaitEstimates, WorkId, WorkMessage};
+use silversail_peer::{PhaseWork, ShardWaitEstimates, WorkId, WorkMessage};
 use silversail_serving::waits::PlacementRequest;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// Interval at which owners of shards of the same service exchange wait estimates, in
 /// milliseconds.
@@ -138,30 +138,6 @@
         PhaseWork { regions, ..phase }
     }
 
-    /// Releases results at the owners of the shards that produced them, which account for their
-    /// memory. Without such an owner this node releases them.
-    pub(super) fn release_results(&mut self, service: &str, handles: Vec<ResultHandle>) {
-        let mut by_owner: BTreeMap<NodeName, Vec<ResultHandle>> = BTreeMap::new();
-        for handle in handles {
-            let owner = self.owner_of_result(service, &handle);
-            let owner = owner.unwrap_or(&self.node).clone();
-            by_owner.entry(owner).or_default().push(handle);
-        }
-        for (owner, handles) in by_owner {
-            self.release_results_at(&owner, handles);
-        }
-    }
-
-    fn owner_of_result(&self, service: &str, handle: &ResultHandle) -> Option<&NodeName> {
-        let backend = self.dispatcher.instances.holder(handle);
-        let zone = backend.map_or("", |backend| backend.listed.zone.as_str());
-        let mut shards = self.shard_owners.iter();
-        let is_producer = |(shard, _): &(&Shard, &NodeName)| {
-            shard.service == service && shard.contains_zone(zone)
-        };
-        shards.find(is_producer).map(|(_, owner)| owner)
-    }
-
     /// Wait estimates of the service's shards: computed for the local shard, and last reported
     /// for the others.
     pub(super) fn wait_estimates_of(
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -147,8 +147,8 @@
         address: String,
         /// Number of results that it named.
         results: usize,
-        /// `freed`, or why they may not be: `status_` and the HTTP status, `other_answer`, or the
-        /// reason why there was no answer.
+        /// `freed`, or why they may not be: `address_mismatch` if another back end answered,
+        /// `status_` and the HTTP status, `other_answer`, or the reason why there was no answer.
         outcome: String,
     },
     /// A request was sent to an engine.
--- a/crates/serving/examples/batch_cost.rs
+++ b/crates/serving/examples/batch_cost.rs
@@ -153,7 +153,8 @@
                 batcher.next_calls(&table, message);
             }
         }
-        let released = batcher.take_releases();
+        let released = batcher.take_releases().into_iter();
+        let released: Vec<ResultHandle> = released.map(|result| result.handle).collect();
         batcher.results_freed(&released);
     }
     let micros = started_at.elapsed().as_micros() as f64 / MESSAGES as f64;
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -24,6 +24,7 @@
 use backend_health::BackendHealthTable;
 use estimate::CallAverages;
 use order::{Order, PieceState};
+pub use result_memory::ReleasedResult;
 use result_memory::ResultMemory;
 use silversail_decisions::{DecisionLog, Event};
 use silversail_model::topology::RegionFilter;
@@ -258,7 +259,7 @@
         self.backends.forget_failures();
     }
 
-    /// Releases results that are no longer needed.
+    /// Releases results of this batcher's calls that are no longer needed; ignores all others.
     pub fn release(&mut self, handles: &[ResultHandle]) {
         self.result_memory.release(handles);
     }
@@ -269,7 +270,7 @@
     }
 
     /// Takes the results that back ends must free.
-    pub fn take_releases(&mut self) -> Vec<ResultHandle> {
+    pub fn take_releases(&mut self) -> Vec<ReleasedResult> {
         self.result_memory.take_releases()
     }
 
--- a/crates/serving/src/batcher/result_memory.rs
+++ b/crates/serving/src/batcher/result_memory.rs
@@ -1,10 +1,20 @@
 //! Accounting of the memory that results use at their back ends.
 
 use super::OrderKey;
+use crate::instances::InstanceId;
 use crate::Millis;
 use silversail_peer::ResultHandle;
 use std::collections::BTreeMap;
 
+/// A result that its maker may free.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReleasedResult {
+    /// Back end that made the result and stores it.
+    pub maker: InstanceId,
+    /// Handle of the result.
+    pub handle: ResultHandle,
+}
+
 struct StoredResult {
     key: OrderKey,
     backend: String,
@@ -19,7 +29,7 @@
 pub(super) struct ResultMemory {
     used_bytes: BTreeMap<String, u64>,
     results: BTreeMap<ResultHandle, StoredResult>,
-    releases: Vec<ResultHandle>,
+    releases: Vec<ReleasedResult>,
     assumed: BTreeMap<String, (u64, Millis)>,
 }
 
@@ -72,15 +82,20 @@
     }
 
     /// Marks results as no longer needed. Their bytes stay counted until the back end confirms
-    /// that it has freed them.
+    /// that it has freed them. Unknown ones were made by calls of another node, which knows their
+    /// makers, or have expired.
     pub(super) fn release(&mut self, handles: &[ResultHandle]) {
         for handle in handles {
-            if let Some(result) = self.results.get_mut(handle) {
-                if std::mem::replace(&mut result.is_released, true) {
-                    continue;
-                }
+            let Some(result) = self.results.get_mut(handle) else {
+                continue;
+            };
+            if std::mem::replace(&mut result.is_released, true) {
+                continue;
             }
-            self.releases.push(handle.clone());
+            self.releases.push(ReleasedResult {
+                maker: result.backend.clone(),
+                handle: handle.clone(),
+            });
         }
     }
 
@@ -110,7 +125,7 @@
     }
 
     /// Takes the results that back ends must free.
-    pub(super) fn take_releases(&mut self) -> Vec<ResultHandle> {
+    pub(super) fn take_releases(&mut self) -> Vec<ReleasedResult> {
         std::mem::take(&mut self.releases)
     }
 
--- a/crates/serving/src/instances/instance.rs
+++ b/crates/serving/src/instances/instance.rs
@@ -254,7 +254,12 @@
     /// Whether it is ejected because of recent failures, or because another one answered at its
     /// address.
     pub fn is_ejected(&self, now: Millis) -> bool {
-        self.is_suspect(now) || now < self.address_mismatch_until
+        self.is_suspect(now) || self.has_address_mismatch(now)
+    }
+
+    /// Whether another back end answered at its address: it has ended.
+    pub fn has_address_mismatch(&self, now: Millis) -> bool {
+        now < self.address_mismatch_until
     }
 
     /// Whether it may be retried when all back ends have failed: it is ejected only because of
@@ -262,7 +267,7 @@
     pub fn may_be_retried(&self, now: Millis) -> bool {
         self.accepts_new_work()
             && self.is_suspect(now)
-            && now >= self.address_mismatch_until
+            && !self.has_address_mismatch(now)
             && self.available_at(now).is_none()
     }
 
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -262,11 +262,8 @@
     /// Whether a body is that of an answer to a batch call.
     fn has_results(&self, body: &[u8]) -> bool;
 
-    /// Builds the call `id` that frees results.
-    fn free_call(&self, id: String, handles: &[ResultHandle]) -> BackendCall;
-
-    /// Address of the back end that holds a result.
-    fn maker_address<'a>(&self, handle: &'a ResultHandle) -> &'a str;
+    /// Builds the call `id` that frees results at their maker, the back end `instance`.
+    fn free_call(&self, id: String, instance: &str, handles: &[ResultHandle]) -> BackendCall;
 }
 
 /// A page of the list of back ends.
--- a/crates/serving/tests/batcher_rollouts.rs
+++ b/crates/serving/tests/batcher_rollouts.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::batches::{batcher, key, work};
+use common::batches::{batcher, handles_of, key, work};
 use common::made;
 use common::versions::{completed, directive, in_progress, of_version, rolled_back, rollout};
 use rstest::rstest;
@@ -98,7 +98,7 @@
             .batcher
             .release(finished[0].result.as_ref().expect("made"));
         let releases = owner.batcher.take_releases();
-        owner.batcher.results_freed(&releases);
+        owner.batcher.results_freed(&handles_of(&releases));
     }
     assert!((70..=101).contains(&to_candidate), "{to_candidate} of 500");
     let (baseline, candidate) = owner.answers();
--- a/crates/serving/tests/batcher_room.rs
+++ b/crates/serving/tests/batcher_room.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
-use common::batches::{batcher, key, large_work, table, whole, work};
-use common::made;
+use common::batches::{batcher, handles_of, key, large_work, table, whole, work};
+use common::{batch_spec, made};
 use silversail_peer::{PieceFailure, ResultHandle};
+use silversail_serving::batcher::CallOutcome;
 
 #[test]
 fn result_memory_is_never_overcommitted_and_is_reused_once_freed() {
@@ -22,7 +23,7 @@
     assert_eq!(releases.len(), 1);
     // The back end has not confirmed yet that it freed the result.
     assert!(batcher.next_calls(&table, 301).is_empty());
-    batcher.results_freed(&releases);
+    batcher.results_freed(&handles_of(&releases));
     assert_eq!(batcher.next_calls(&table, 305)[0].pieces.len(), 1);
 }
 
@@ -160,3 +161,40 @@
     batcher.release(&handles);
     assert_eq!(batcher.take_releases().len(), 2);
 }
+
+/// A result goes back to the back end that made it, whatever its handle says. One that this node
+/// did not make, or that has expired, is left to its maker.
+#[test]
+fn a_result_is_freed_at_its_maker_alone() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 2), &table, 0)
+        .expect("accepted");
+    let call = batcher.next_calls(&table, 0).remove(0);
+    let results = vec![
+        Ok(ResultHandle("s7:80/moved".into())),
+        Ok(ResultHandle("s1:80/kept".into())),
+    ];
+    let finished = batcher.call_ended(call.call, CallOutcome::Answered(results), 260);
+    let mut handles = finished[0].result.clone().expect("made");
+    handles.push(ResultHandle("s1:80/of-another-node".into()));
+    batcher.release(&handles);
+    let releases = batcher.take_releases();
+    assert_eq!(handles_of(&releases), handles[..2]);
+    assert!(releases.iter().all(|result| result.maker == "s1"));
+}
+
+/// An expired result is gone at its maker.
+#[test]
+fn an_expired_result_is_not_freed() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 2), &table, 0)
+        .expect("accepted");
+    let call = batcher.next_calls(&table, 0).remove(0);
+    let finished = batcher.call_ended(call.call, made(&call), 260);
+    let lifetime = batch_spec().result_lifetime_ms;
+    batcher.expire(260 + lifetime + 1_000);
+    batcher.release(finished[0].result.as_ref().expect("made"));
+    assert_eq!(batcher.take_releases(), []);
+}
--- a/crates/serving/tests/common/batches.rs
+++ b/crates/serving/tests/common/batches.rs
@@ -4,8 +4,8 @@
 use silversail_decisions::DecisionLog;
 use silversail_model::topology::RegionFilter;
 use silversail_model::{RequestFingerprint, Shard};
-use silversail_peer::{PhaseWork, Piece, PieceSource};
-use silversail_serving::batcher::{Batcher, OrderKey};
+use silversail_peer::{PhaseWork, Piece, PieceSource, ResultHandle};
+use silversail_serving::batcher::{Batcher, OrderKey, ReleasedResult};
 use silversail_serving::instances::InstanceTable;
 use silversail_serving::policy::Policy;
 
@@ -33,6 +33,11 @@
     batcher
 }
 
+pub fn handles_of(released: &[ReleasedResult]) -> Vec<ResultHandle> {
+    let handles = released.iter().map(|result| result.handle.clone());
+    handles.collect()
+}
+
 pub fn key(work: u64) -> OrderKey {
     OrderKey {
         node: "n1".into(),
