Requests for more pieces than can be served are refused before their pieces exist

The counts were read as any numbers of 32 bits, and the order of a phase was built piece by piece before anything compared it with what its back ends can do.

The codec now bounds the pieces of all phases together (65,536; 400 with 1004), also for counts beyond 32 bits, which were reported as a missing identifier (2203). At admission, more inputs of all pieces of a phase together than 262,144 are refused with 1004, and more pieces of a phase than four times what all its listed back ends could run before the deadline or hold at once with 503 and 2103. The capacity comes from the configuration; the margin is there because its durations and sizes are approximate and back ends may be added. Only counts are compared, so that a refusal allocates nothing of their size.

No result code was added: the ledger stores codes by their position in the enumeration.

--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -116,7 +116,7 @@
         let parts = &request.parts;
         let mut call = match protocol.read_request(&parts.uri, &parts.headers) {
             Ok(call) => call,
-            Err(_) => return Ok(self.local_response("", ResultCode::MissingIdentifier, None)),
+            Err(error) => return Ok(self.local_response("", error.code(), None)),
         };
         let target = parts.uri.path_and_query();
         let target = target.map_or("", |target| target.as_str());
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod outcomes;
 mod phases;
+mod piece_limits;
 mod progress;
 mod quarantine;
 mod regions;
@@ -270,6 +271,7 @@
             return self.give_up(number, code, now);
         }
         let lacks_allowed_backends = self.lacks_allowed_backends(&request);
+        let exceeded_limit = self.exceeded_piece_limit(&request, now);
         // The caller has a part of a resumed stream, and waited for it before.
         let is_new = request.version.is_none();
         let retry_after_ms = is_new
@@ -284,6 +286,9 @@
         if lacks_allowed_backends {
             return self.give_up(number, ResultCode::NoAllowedBackend, now);
         }
+        if let Some(code) = exceeded_limit {
+            return self.give_up(number, code, now);
+        }
         if let Some(available_at) = available_at {
             return self.reject_until(number, available_at, now);
         }
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -118,6 +118,21 @@
     /// A header that routing uses cannot be parsed; its name is attached.
     #[error("header {0} can't be read")]
     MalformedHeader(String),
+    /// The phases have more pieces than any request may have.
+    #[error("the request has too many pieces")]
+    TooManyPieces,
+}
+
+impl RequestError {
+    /// Result code of the refusal.
+    pub fn code(&self) -> ResultCode {
+        match self {
+            RequestError::MissingId | RequestError::MalformedHeader(_) => {
+                ResultCode::MissingIdentifier
+            }
+            RequestError::TooManyPieces => ResultCode::ValueOutOfRange,
+        }
+    }
 }
 
 /// Attributes that are sent to an engine with a request.
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -2,7 +2,7 @@
 
 use crate::ports::CallAttributes;
 use silversail_model::topology::RegionFilter;
-use silversail_model::traffic::{hash_key, KeyHash, Route, RouteTarget, TenantKeys};
+use silversail_model::traffic::{hash_key, BatchSpec, KeyHash, Route, RouteTarget, TenantKeys};
 use silversail_model::TrafficConfiguration;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeSet, HashMap};
@@ -63,6 +63,7 @@
     keys: HashMap<KeyHash, Arc<KeyOwner>>,
     has_tenants: bool,
     is_restricting: bool,
+    batch_specs: HashMap<String, BatchSpec>,
 }
 
 impl RouteTable {
@@ -93,6 +94,7 @@
             keys,
             has_tenants: !traffic.tenants.is_empty(),
             is_restricting: restricts_regions(traffic),
+            batch_specs: batch_specs(traffic),
         }
     }
 
@@ -101,6 +103,11 @@
         self.is_restricting
     }
 
+    /// Capacity of each back end of a batched service.
+    pub(crate) fn batch_spec(&self, service: &str) -> Option<&BatchSpec> {
+        self.batch_specs.get(service)
+    }
+
     /// Version of the indexed configuration.
     pub fn version(&self) -> u64 {
         self.version
@@ -199,3 +206,10 @@
     }
     targets.last().map_or("", |target| target.service.as_str())
 }
+
+fn batch_specs(traffic: &TrafficConfiguration) -> HashMap<String, BatchSpec> {
+    let services = traffic.services.iter();
+    let batched =
+        services.filter_map(|service| Some((service.name.clone(), service.batch.clone()?)));
+    batched.collect()
+}
