--- a/crates/daemon/src/gateway/call_types.rs
+++ b/crates/daemon/src/gateway/call_types.rs
@@ -130,6 +130,9 @@
     /// The call was not sent.
     #[error("the call was not sent: {0}")]
     NotSent(String),
+    /// The call was not sent because it is no valid HTTP request.
+    #[error("the call is no valid request: {0}")]
+    InvalidRequest(#[from] hyper::http::Error),
     /// The call was not sent because the back end asked for back-off, is draining or is out of
     /// permits.
     #[error("the call was not sent because the back end is {}", .0.name())]
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -195,6 +195,7 @@
                 }
             }
             Err(CallError::NotSent(_)) => CallOutcome::Unreachable,
+            Err(CallError::InvalidRequest(_)) => CallOutcome::NotRun,
             Err(CallError::BackendUnavailable(_)) => CallOutcome::BackendUnavailable,
             Ok(_) | Err(CallError::NoAnswer(_)) => CallOutcome::Unknown,
         }
@@ -233,6 +234,7 @@
     ) -> Result<CallAnswer, CallError> {
         let address = target.address();
         let not_sent = |error: std::io::Error| CallError::NotSent(error.to_string());
+        let request = build_request(address, &call)?;
         let connection = match self.pool.take_idle(address, &call.id) {
             Some(connection) => connection,
             None => {
@@ -248,7 +250,6 @@
             }
         };
         let exchange = target.exchange(&call.id);
-        let request = build_request(address, &call);
         permit.iter_mut().for_each(SendPermit::spend);
         let own = match self.exchanges.send(&exchange, connection, request).await {
             Err(ExchangeError::NotSent(_)) => {
@@ -263,7 +264,7 @@
                     }
                 };
                 permit.iter_mut().for_each(SendPermit::spend);
-                let request = build_request(address, &call);
+                let request = build_request(address, &call)?;
                 self.exchanges.send(&exchange, connection, request).await?
             }
             exchanged => exchanged?,
@@ -290,13 +291,15 @@
     }
 }
 
-fn build_request(address: &str, call: &BackendCall) -> hyper::Request<Full<Bytes>> {
+fn build_request(
+    address: &str,
+    call: &BackendCall,
+) -> Result<hyper::Request<Full<Bytes>>, hyper::http::Error> {
     let mut request = hyper::Request::builder()
         .method(call.method.clone())
         .uri(&call.path)
         .header(hyper::header::HOST, address)
-        .body(Full::new(Bytes::from(call.body.clone())))
-        .expect("the adapters produce valid paths");
+        .body(Full::new(Bytes::from(call.body.clone())))?;
     request.headers_mut().extend(call.headers.clone());
-    request
+    Ok(request)
 }
--- a/crates/daemon/src/gateway/list_fetch.rs
+++ b/crates/daemon/src/gateway/list_fetch.rs
@@ -1,11 +1,11 @@
 //! Reads the backend list page by page while this node is its reader.
 
-use crate::gateway::call_types::CallTarget;
+use crate::gateway::call_types::{CallError, CallTarget};
 use crate::gateway::calls::RuntimeCalls;
 use crate::gateway::event::{GatewayEvent, ListRead};
 use crate::settings::GatewaySettings;
 use silversail_serving::ports::{BackendListEntry, ListPage};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
@@ -26,6 +26,8 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum number of pages, which bounds a read if the source returns a next page without end.
 const MAX_PAGES: usize = 2_000;
+/// Maximum length of a page token in bytes, which bounds the memory for the tokens of a read.
+const MAX_TOKEN_BYTES: usize = 4_096;
 
 /// Reason why the list could not be read.
 #[derive(Debug, thiserror::Error)]
@@ -38,6 +40,12 @@
     MalformedPage,
     #[error("the backend list has more than {MAX_PAGES} pages")]
     TooManyPages,
+    #[error("a page of the backend list names a page that was read before")]
+    RepeatedPage,
+    #[error("a page token has {0} bytes, more than {MAX_TOKEN_BYTES}")]
+    TokenTooLong(usize),
+    #[error("a page can't be requested: {0}")]
+    InvalidRequest(CallError),
 }
 
 /// Result of a request for a page.
@@ -87,6 +95,7 @@
         let mut entries: BTreeMap<String, BackendListEntry> = BTreeMap::new();
         let mut malformed: BTreeMap<String, usize> = BTreeMap::new();
         let mut page: Option<String> = None;
+        let mut tokens: BTreeSet<String> = BTreeSet::new();
         for calls in 1..=MAX_PAGES {
             let list_page = self.read_page(address, page.as_deref(), started_at).await?;
             for entry in list_page.instances {
@@ -95,15 +104,19 @@
             for reason in list_page.malformed {
                 *malformed.entry(reason).or_default() += 1;
             }
-            page = list_page.next;
-            if page.is_none() {
+            let Some(token) = list_page.next else {
                 let entries = entries.into_values().collect();
                 return Ok(ListRead {
                     entries,
                     malformed,
                     calls,
                 });
+            };
+            check_token(&token)?;
+            if !tokens.insert(token.clone()) {
+                return Err(ListError::RepeatedPage);
             }
+            page = Some(token);
         }
         Err(ListError::TooManyPages)
     }
@@ -144,11 +157,21 @@
                 PageResult::Refused(format!("status {}", answer.head.status))
             }
             Ok(answer) => PageResult::Failed(ListError::Status(answer.head.status)),
+            Err(error @ CallError::InvalidRequest(_)) => {
+                PageResult::Failed(ListError::InvalidRequest(error))
+            }
             Err(error) => PageResult::Refused(error.to_string()),
         }
     }
 }
 
+fn check_token(token: &str) -> Result<(), ListError> {
+    match token.len() <= MAX_TOKEN_BYTES {
+        true => Ok(()),
+        false => Err(ListError::TokenTooLong(token.len())),
+    }
+}
+
 /// Adds an entry. The list may change between pages, so that an entry can occur twice; it is
 /// draining if either occurrence is.
 fn add_entry(entries: &mut BTreeMap<String, BackendListEntry>, entry: BackendListEntry) {
