--- a/crates/daemon/src/replica/actor.rs
+++ b/crates/daemon/src/replica/actor.rs
@@ -25,6 +25,9 @@
 const TICKS_PER_PROBE: u64 = 8;
 /// Minimum number of applied entries before a snapshot replaces the log.
 const MIN_ENTRIES_BEFORE_COMPACTION: usize = 2_000;
+/// Bytes of applied commands after which a snapshot replaces the log, whatever their number. A
+/// larger snapshot raises this bound to its own size.
+const MIN_BYTES_BEFORE_COMPACTION: usize = 4 << 20;
 /// Snapshot bytes that raise the compaction threshold by one entry, so that a
 /// large state is not rewritten too often.
 const SNAPSHOT_BYTES_PER_ENTRY: usize = 512;
@@ -97,7 +100,9 @@
     pub(super) rounds_as_leader: u64,
     pub(super) ticks: u64,
     pub(super) applied_since_compaction: usize,
+    pub(super) bytes_since_compaction: usize,
     pub(super) compaction_threshold: usize,
+    pub(super) compaction_threshold_bytes: usize,
     /// Node of each replica, learned from messages.
     pub(super) node_by_replica: BTreeMap<ReplicaId, NodeName>,
 }
@@ -130,7 +135,9 @@
             rounds_as_leader: 0,
             ticks: 0,
             applied_since_compaction: 0,
+            bytes_since_compaction: 0,
             compaction_threshold: MIN_ENTRIES_BEFORE_COMPACTION,
+            compaction_threshold_bytes: MIN_BYTES_BEFORE_COMPACTION,
             node_by_replica: BTreeMap::new(),
         };
         actor.process_output();
@@ -337,11 +344,11 @@
         for entry in entries {
             self.applied_since_compaction += 1;
             let reply = match &entry.payload {
-                Payload::Command(command) => self
-                    .setup
-                    .state_machine
-                    .borrow_mut()
-                    .apply(entry.index, command),
+                Payload::Command(command) => {
+                    self.bytes_since_compaction += command.len();
+                    let mut state_machine = self.setup.state_machine.borrow_mut();
+                    state_machine.apply(entry.index, command)
+                }
                 Payload::Noop | Payload::Membership(_) => Vec::new(),
             };
             if let Some(pending) = self.proposals.remove(&entry.index) {
@@ -354,16 +361,23 @@
             }
         }
         fwd!([self.setup.on_applied], ());
-        if self.applied_since_compaction >= self.compaction_threshold {
+        if self.needs_compaction() {
             self.compact();
         }
     }
 
+    fn needs_compaction(&self) -> bool {
+        self.applied_since_compaction >= self.compaction_threshold
+            || self.bytes_since_compaction >= self.compaction_threshold_bytes
+    }
+
     pub(super) fn compact(&mut self) {
         self.applied_since_compaction = 0;
+        self.bytes_since_compaction = 0;
         let data = self.setup.state_machine.borrow().snapshot();
         self.compaction_threshold =
             MIN_ENTRIES_BEFORE_COMPACTION.max(data.len() / SNAPSHOT_BYTES_PER_ENTRY);
+        self.compaction_threshold_bytes = MIN_BYTES_BEFORE_COMPACTION.max(data.len());
         let ReplicaState::Member(replica) = &mut self.state else {
             return;
         };
