A result under the handle of an earlier one takes its place in the room

A back end that gives a handle twice left the bytes of the first result counted for good; found by reading, in the review. The new test was red before: the room was full after a few results.

--- a/crates/serving/src/batcher/result_memory.rs
+++ b/crates/serving/src/batcher/result_memory.rs
@@ -78,7 +78,10 @@
             until,
             is_released: false,
         };
-        self.results.insert(handle.clone(), result);
+        let replaced = self.results.insert(handle.clone(), result);
+        if let Some(replaced) = replaced {
+            self.unreserve(&replaced.backend, replaced.bytes);
+        }
     }
 
     /// Marks results as no longer needed. Their bytes stay counted until the back end confirms
--- a/crates/serving/tests/batcher_room.rs
+++ b/crates/serving/tests/batcher_room.rs
@@ -194,7 +194,25 @@
     let call = batcher.next_calls(&table, 0).remove(0);
     let finished = batcher.call_ended(call.call, made(&call), 260);
     let lifetime = batch_spec().result_lifetime_ms;
-    batcher.expire(260 + lifetime + 1_000);
+    assert!(batcher
+        .next_calls(&table, 260 + lifetime + 1_000)
+        .is_empty());
     batcher.release(finished[0].result.as_ref().expect("made"));
     assert_eq!(batcher.take_releases(), []);
 }
+
+/// Guards against memory that stays counted after a back end has used a handle again.
+#[test]
+fn a_result_under_the_handle_of_an_earlier_one_takes_its_place() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    let handle = ResultHandle("s1:80/again".into());
+    for request in 1..20 {
+        batcher
+            .submit(key(request), large_work(request, 1, 300_000), &table, 0)
+            .expect("accepted");
+        let call = batcher.next_calls(&table, 1_000 * request).remove(0);
+        let results = CallOutcome::Answered(vec![Ok(handle.clone())]);
+        let finished = batcher.call_ended(call.call, results, 1_000 * request + 300);
+        assert_eq!(finished.len(), 1);
+    }
+}
