Relay: the deadline is checked before the next part of an answer

What callers would see: an answer whose back end sends without end, faster than its caller reads, goes on after the request's deadline for as long as the caller reads.

Cause: the relay asked for the deadline only when the back end had no bytes ready. A body without end always has some where the caller is the slower of the two.

Evidence: a relayed body of which the next part was always ready had not ended 500 ms after its deadline of 500 ms, where the test stopped it; it ends at its deadline now, and is reported as ended by it.

The deadline is asked for first, so that no answer passes it, whoever is slower.

--- a/crates/http/src/relay.rs
+++ b/crates/http/src/relay.rs
@@ -7,9 +7,9 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Instant;
-use tokio::time::Sleep;
+use tokio::time::{sleep_until, Sleep};
 
 /// How a relayed answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,7 +40,7 @@
     ) -> Self {
         Self {
             inner: Some(inner),
-            deadline_timer: Box::pin(tokio::time::sleep_until(deadline.into())),
+            deadline_timer: Box::pin(sleep_until(deadline.into())),
             on_end: Some(Box::new(on_end)),
         }
     }
@@ -80,20 +80,20 @@
     type Error = io::Error;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let Some(inner) = &mut self.inner else {
+        let this = self.get_mut();
+        let Some(inner) = &mut this.inner else {
             return Poll::Ready(None);
         };
-        match inner.poll_part(context) {
-            Poll::Ready(BodyPart::Frame(frame)) => return Poll::Ready(Some(Ok(frame))),
-            Poll::Ready(BodyPart::End(end)) => return Poll::Ready(self.end(end)),
-            Poll::Pending => {}
+        // Before the next part, as a body without end may always have one.
+        if this.deadline_timer.as_mut().poll(context).is_ready() {
+            return Poll::Ready(this.end(AnswerEnd::Deadline));
         }
-        match self.deadline_timer.as_mut().poll(context) {
-            Poll::Ready(()) => Poll::Ready(self.end(AnswerEnd::Deadline)),
-            Poll::Pending => Poll::Pending,
+        match ready!(inner.poll_part(context)) {
+            BodyPart::Frame(frame) => Poll::Ready(Some(Ok(frame))),
+            BodyPart::End(end) => Poll::Ready(this.end(end)),
         }
     }
 
