Relay: a back end is closed at the deadline also while the caller reads nothing

What back ends would see: an answer without end, or a long one, whose caller has stopped reading holds its connection, and its engine, beyond the request's deadline, until the caller's own connection is given up.

Cause: the relay's deadline is asked for when its body is polled, and the server library does not poll a body while the caller's buffer is full.

A timer of the connection itself closes it, whoever polls. It is cancelled before the connection returns to its pool.

--- a/crates/http/src/answer_body.rs
+++ b/crates/http/src/answer_body.rs
@@ -1,6 +1,6 @@
 //! Body of a back end's answer, which tells how it ended.
 
-use crate::client::Connection;
+use crate::client::{Connection, ConnectionCloser};
 use crate::event_stream::EventStreamScanner;
 use crate::framing::{is_event_stream, AmbiguousFraming, Framing};
 use bytes::{Bytes, BytesMut};
@@ -11,6 +11,7 @@
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
+use std::time::Instant;
 
 /// Next part of a body.
 pub enum BodyPart {
@@ -38,6 +39,8 @@
 pub struct AnswerBody {
     inner: Incoming,
     connection: Option<Connection>,
+    /// Set if the connection is closed at a deadline.
+    closer: Option<ConnectionCloser>,
     framing: Framing,
     /// For streams of events.
     scanner: Option<EventStreamScanner>,
@@ -61,6 +64,7 @@
         let body = Self {
             inner,
             connection: Some(connection),
+            closer: None,
             framing,
             scanner,
             peer_check: None,
@@ -68,6 +72,12 @@
         Ok((parts, body))
     }
 
+    /// Closes the connection at `deadline` unless the answer has ended before.
+    pub fn close_connection_at(&mut self, deadline: Instant) {
+        let connection = self.connection.as_ref();
+        self.closer = connection.map(|connection| connection.closer(deadline));
+    }
+
     /// Size of the body if its end does not depend on its content.
     pub fn size_hint(&self) -> SizeHint {
         match self.scanner {
@@ -143,6 +153,8 @@
     }
 
     fn finish(&mut self, end: AnswerEnd) -> Poll<BodyPart> {
+        // The connection may carry another request from here on.
+        self.closer = None;
         match self.connection.take() {
             Some(connection) if end == AnswerEnd::Whole => connection.return_to_pool(),
             connection => drop(connection),
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpSocket;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout};
 
 /// Lifetime of an idle connection if the back end does not announce one.
 const IDLE_LIFETIME: Duration = Duration::from_secs(8);
@@ -104,6 +104,15 @@
     pool: Arc<IdleConnections>,
 }
 
+/// Timer that closes a connection; it is cancelled when dropped.
+pub(crate) struct ConnectionCloser(AbortHandle);
+
+impl Drop for ConnectionCloser {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -206,6 +215,16 @@
         };
     }
 
+    /// Starts a timer that closes the connection at `deadline`.
+    pub(crate) fn closer(&self, deadline: Instant) -> ConnectionCloser {
+        let connection = self.task.clone();
+        let timer = tokio::spawn(async move {
+            sleep_until(deadline.into()).await;
+            connection.abort();
+        });
+        ConnectionCloser(timer.abort_handle())
+    }
+
     /// Finds out whether the back end's process is gone, which shows by refused connections. A back
     /// end that cannot be asked counts as running.
     pub(crate) fn peer_check(
--- a/crates/http/src/relay.rs
+++ b/crates/http/src/relay.rs
@@ -34,10 +34,12 @@
 impl RelayBody {
     /// Relays `inner` until `deadline`. `on_end` is called once with the outcome.
     pub fn new(
-        inner: AnswerBody,
+        mut inner: AnswerBody,
         deadline: Instant,
         on_end: impl FnOnce(RelayOutcome) + Send + 'static,
     ) -> Self {
+        // Also while the caller reads nothing, so that this body is not polled.
+        inner.close_connection_at(deadline);
         Self {
             inner: Some(inner),
             deadline_timer: Box::pin(sleep_until(deadline.into())),
--- a/crates/http/tests/endless_answers.rs
+++ b/crates/http/tests/endless_answers.rs
@@ -64,3 +64,16 @@
     let expected = RelayOutcome::Ended(AnswerEnd::Deadline);
     assert_eq!(outcomes.try_recv(), Ok(expected));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_back_end_is_closed_at_the_deadline_although_its_caller_reads_nothing() {
+    let (address, is_closed) = start_endless_backend().await;
+    let (outcome, outcomes) = mpsc::channel();
+    let mut body = relay(&address, outcome).await;
+    sleep(DEADLINE + TOLERANCE).await;
+    let closed_after = is_closed.try_recv();
+    assert!(closed_after.is_ok(), "the connection is still open");
+    while let Some(Ok(_)) = body.frame().await {}
+    let expected = RelayOutcome::Ended(AnswerEnd::Deadline);
+    assert_eq!(outcomes.try_recv(), Ok(expected));
+}
