Engine client: a line of a stream has a bound

What callers would see: an engine in trouble that sends one event or one comment without end fills the memory of the process that reads it, until the call's deadline.

Cause: lines of a stream were read up to their end, however far that was.

Evidence: within a call's 1.5 s 269,991,961 bytes of one event and 295,125,013 of one comment were read into one line; a line of more than 1 MiB, which carries one token, ends the call as a violation of the protocol now, and its connection is closed.

--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -9,12 +9,14 @@
 use crate::guard::{send_guarded, CallGuard, SendResult};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
-use std::io::{BufRead, BufReader};
+use std::io::{self, BufRead, BufReader, Read};
 use std::time::Duration;
 
 const END_MARKER: &str = "[DONE]";
 const DATA_FIELD: &str = "data:";
 const LOAD_TIMEOUT: Duration = Duration::from_millis(800);
+/// Maximum size of a line of a stream, which carries one token, in bytes.
+const MAX_LINE_BYTES: usize = 1 << 20;
 /// Maximum number of times that an interrupted stream is resumed at the same engine.
 const MAX_RESUMES: u32 = 2;
 
@@ -193,12 +195,15 @@
             return Err(CallFailure::Cancelled);
         }
         line.clear();
-        match reader.read_line(&mut line) {
+        match read_bounded_line(&mut reader, &mut line) {
             Ok(0) => break,
             Ok(_) => {}
             Err(_) if call.remaining().is_zero() => return Err(CallFailure::DeadlineExceeded),
             Err(error) => return Ok(StreamEnd::Interrupted(error.to_string())),
         }
+        if line.len() > MAX_LINE_BYTES {
+            return Err(CallFailure::Protocol("line of a stream too long".into()));
+        }
         let data = line.strip_prefix(DATA_FIELD).map(str::trim);
         if data == Some(END_MARKER) {
             // The stream is complete only if the last token preceded the end marker.
@@ -223,6 +228,12 @@
     ))
 }
 
+/// Reads a line; of a longer one than the maximum, one byte more than that.
+fn read_bounded_line(reader: &mut impl BufRead, line: &mut String) -> io::Result<usize> {
+    let max_bytes = MAX_LINE_BYTES as u64 + 1;
+    reader.take(max_bytes).read_line(line)
+}
+
 fn apply_event(
     data: &str,
     call: &StageCall,
