Engine client: no more tokens than were asked for

What callers would see: an engine in trouble that sends tokens without end fills the memory of the process and the stream of the caller until the call's deadline.

Cause: tokens were accepted in order, however many came.

--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -267,6 +267,9 @@
             event.sequence, progress.tokens
         )));
     }
+    if event.sequence >= u64::from(call.max_tokens.max(1)) {
+        return Err(CallFailure::Protocol("more tokens than asked for".into()));
+    }
     progress.text.push_str(&choice.text);
     progress.sink.token(event.sequence, &choice.text);
     progress.tokens += 1;
--- a/crates/backend/tests/endless_answers.rs
+++ b/crates/backend/tests/endless_answers.rs
@@ -3,7 +3,8 @@
 use rstest::rstest;
 use serde_json::json;
 use silversail_backend::{
-    engine, platform, service, Agents, BackendSelfReport, CallGuard, StageCall, TokenSink,
+    engine, platform, service, Agents, BackendSelfReport, CallFailure, CallGuard, StageCall,
+    TokenSink,
 };
 use std::io::{Read, Write};
 use std::net::TcpListener;
@@ -75,6 +76,13 @@
     }
 }
 
+/// A token without its number, as the events of a stream carry it.
+fn token_event(sequence: u64) -> String {
+    let choices = json!([{ "text": "t" }]);
+    let event = json!({ "id": "a1", "sequence": sequence, "choices": choices });
+    format!("data: {event}\n\n")
+}
+
 #[rstest]
 #[case::one_event("\r\ndata: ", "x")]
 #[case::one_comment("\r\n: ", "x")]
@@ -102,6 +110,20 @@
     assert!(sent <= MAX_SENT_BYTES, "{sent} bytes were read");
 }
 
+#[test]
+fn more_tokens_than_were_asked_for_end_a_generation() {
+    let events: String = (0..1_000).map(token_event).collect();
+    let (address, _closed) = serve(format!("{OK}\r\n{events}"), ": more\n".to_owned());
+    let call = stage_call(&address);
+    let began = Instant::now();
+    let result = engine::generate(&Agents::new(), &call, &mut NoSink, &Unguarded);
+    assert!(
+        matches!(result, Err(CallFailure::Protocol(_))),
+        "{result:?}"
+    );
+    assert!(began.elapsed() < DEADLINE);
+}
+
 #[rstest]
 #[case::success(OK)]
 #[case::rejection("HTTP/1.1 429 Too Many Requests\r\n")]
