Calls to a stage that another answers are no lost connections, and end

Operators would see: a stage back end that sent an answer again, or whose address had passed to another one, counted as crashed, cut off or bad in a rollout, and a node called the successor of a crashed one each 80 to 250 ms for as long as the list trailed.

Cause: CallOutcome had no case for either. An answer to another call became NoAnswer, and an answer with results of one Unknown, as a lost connection; an answer 421 became NotRun, after which the same address is called again.

Change: CallOutcome::ForeignAnswer (the pieces may have run, so it counts as a try, and the back end's health takes a failure; no rollout evidence, nothing about reachability, no question whether it crashed) and CallOutcome::AddressMismatch (nothing ran; the table of back ends learns it, so that the batcher passes the back end over; no failure, no rejection, no rollout evidence). A back end with an address mismatch is no place that orders wait for: a shard without another one refuses them at once, as one without back ends, and estimates leave it out. An answer without an identifier that brings another number of results, or none, is told from a lost connection as well.

The cases of batcher_rollouts and batcher are new with the cases of CallOutcome. The test of counted calls is renamed, as a call that may have run does not count as bad if another's answer came; its former cases stay as they were.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -254,7 +254,7 @@
         self.handle_finished_orders(expired_orders, now);
         let without_backend = self
             .batcher
-            .reject_orders_without_backend(&self.dispatcher.instances);
+            .reject_orders_without_backend(&self.dispatcher.instances, now);
         self.handle_finished_orders(without_backend, now);
         let instances = &self.dispatcher.instances;
         let delayed_by_back_off = self
@@ -319,9 +319,11 @@
             }
             GatewayEvent::BatchEnded { call, outcome } => {
                 self.count_call_end(call, &outcome);
-                let is_lost = matches!(outcome, CallOutcome::Unreachable | CallOutcome::Unknown);
-                self.record_call_reachability(call, is_lost, now);
-                if outcome == CallOutcome::Unknown {
+                self.record_call_reachability(call, &outcome, now);
+                if outcome == CallOutcome::AddressMismatch {
+                    self.record_mismatch_of_call(call, now);
+                }
+                if outcome.may_be_crash() {
                     if let Some(connection_loss) = self.batcher.break_off(call) {
                         self.handle_connection_loss(connection_loss, now);
                     }
--- a/crates/daemon/src/gateway/call_types.rs
+++ b/crates/daemon/src/gateway/call_types.rs
@@ -3,6 +3,7 @@
 use crate::gateway::exchange::{Exchange, ExchangeError, ExchangeRole};
 use bytes::Bytes;
 use silversail_http::{CarriedKey, Connection};
+use silversail_serving::answer_identity::ForeignAnswer;
 use silversail_serving::instances::InstanceId;
 use silversail_serving::notices::{ExchangeKind, UnavailableReason};
 use silversail_serving::ports::{AnswerHead, PieceResults};
@@ -77,6 +78,11 @@
         self.release_connection();
     }
 
+    /// Whether nothing tells the answer from a repetition of an earlier one on its connection.
+    pub(super) fn may_be_repetition(&self) -> bool {
+        !self.head.is_named && self.connection.earlier_requests() > 0
+    }
+
     /// Identifies an answer with results that does not name its call: a repetition of an earlier
     /// answer brings results that the connection has carried before.
     pub(super) fn is_identified_by(&mut self, results: &PieceResults) -> bool {
@@ -137,6 +143,9 @@
     /// The call was sent and may have been executed.
     #[error("the call got no answer: {0}")]
     NoAnswer(String),
+    /// Another call's answer came in place of the own one. The call may have been executed.
+    #[error(transparent)]
+    ForeignAnswer(Box<ForeignAnswer>),
 }
 
 impl From<ExchangeError> for CallError {
@@ -144,7 +153,7 @@
         match error {
             ExchangeError::NotSent(detail) => CallError::NotSent(detail),
             ExchangeError::NoAnswer(detail) => CallError::NoAnswer(detail),
-            ExchangeError::Foreign(foreign) => CallError::NoAnswer(foreign.to_string()),
+            ExchangeError::Foreign(foreign) => CallError::ForeignAnswer(foreign),
         }
     }
 }
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -162,7 +162,7 @@
     /// Whether the answer is one to a batch call.
     fn has_results(&self, answer: &CallAnswer) -> bool {
         let batches = &self.protocols.batches;
-        batches.has_results(&answer.body)
+        batches.read_results(&answer.body).is_some()
     }
 
     fn free_outcome(&self, answer: Result<CallAnswer, CallError>) -> FreeOutcome {
@@ -174,32 +174,47 @@
                 answer.release_without_results();
                 FreeOutcome::Freed
             }
+            Err(CallError::ForeignAnswer(_)) => FreeOutcome::OtherAnswer,
             Err(error) => FreeOutcome::NoAnswer(error.to_string()),
         }
     }
 
     fn batch_outcome(&self, answer: Result<CallAnswer, CallError>, pieces: usize) -> CallOutcome {
         match answer {
+            Ok(answer) if answer.head.status == MISDIRECTED => {
+                answer.release_connection();
+                CallOutcome::AddressMismatch
+            }
             Ok(answer) if answer.head.not_run => {
                 answer.release_connection();
                 CallOutcome::NotRun
             }
-            Ok(mut answer) if answer.head.status == 200 => {
-                let results = self.protocols.batches.read_run(&answer.body, pieces);
-                match results.filter(|results| answer.is_identified_by(results)) {
-                    Some(results) => {
-                        answer.release_connection();
-                        CallOutcome::Answered(results)
-                    }
-                    None => CallOutcome::Unknown,
-                }
-            }
+            Ok(answer) if answer.head.status == 200 => self.outcome_of_results(answer, pieces),
             Err(CallError::NotSent(_)) => CallOutcome::Unreachable,
             Err(CallError::BackendUnavailable(_)) => CallOutcome::BackendUnavailable,
+            Err(CallError::ForeignAnswer(_)) => CallOutcome::ForeignAnswer,
             Ok(_) | Err(CallError::NoAnswer(_)) => CallOutcome::Unknown,
         }
     }
 
+    fn outcome_of_results(&self, mut answer: CallAnswer, pieces: usize) -> CallOutcome {
+        let Some(results) = self.protocols.batches.read_results(&answer.body) else {
+            return match answer.may_be_repetition() {
+                true => CallOutcome::ForeignAnswer,
+                false => CallOutcome::Unknown,
+            };
+        };
+        // An answer to another call may bring more or fewer results than this one has pieces.
+        if !answer.is_identified_by(&results) {
+            return CallOutcome::ForeignAnswer;
+        }
+        if results.len() != pieces {
+            return CallOutcome::Unknown;
+        }
+        answer.release_connection();
+        CallOutcome::Answered(results)
+    }
+
     /// Makes a call and reads the whole answer.
     pub async fn call(
         &self,
--- a/crates/daemon/src/gateway/reachability.rs
+++ b/crates/daemon/src/gateway/reachability.rs
@@ -5,7 +5,7 @@
 use silversail_consensus::Millis;
 use silversail_decisions::Event as LogEvent;
 use silversail_model::{NodeName, Shard};
-use silversail_serving::batcher::CallId;
+use silversail_serving::batcher::{CallId, CallOutcome};
 use silversail_serving::crashes::{Diagnosis, Probe, ProbeResult};
 use silversail_serving::reachability::{probe_targets, ReachabilityChange};
 use stakker::{fwd, fwd_nop, Fwd};
@@ -120,15 +120,30 @@
         self.reject_orders_of_lost_shards(now);
     }
 
-    /// Records the outcome of a batch call for the reachability of back ends.
-    pub(super) fn record_call_reachability(&mut self, call: CallId, is_lost: bool, now: Millis) {
+    /// Records the outcome of a batch call for the reachability of back ends. What another back end
+    /// or an answer to another call says about it is unknown.
+    pub(super) fn record_call_reachability(
+        &mut self,
+        call: CallId,
+        outcome: &CallOutcome,
+        now: Millis,
+    ) {
         let Some(backend) = self.batcher.backend_of_call(call) else {
             return;
         };
         let reachability = &mut self.dispatcher.reachability;
-        match is_lost {
-            true => reachability.record_failure(backend, now),
-            false => reachability.record_answer(backend),
+        match outcome {
+            CallOutcome::AddressMismatch | CallOutcome::ForeignAnswer => {}
+            outcome if outcome.is_connection_loss() => reachability.record_failure(backend, now),
+            _ => reachability.record_answer(backend),
+        }
+    }
+
+    /// Records that another back end answered a batch call, so that its own one gets no more.
+    pub(super) fn record_mismatch_of_call(&mut self, call: CallId, now: Millis) {
+        if let Some(backend) = self.batcher.backend_of_call(call) {
+            let instances = &mut self.dispatcher.instances;
+            instances.record_address_mismatch(backend, now);
         }
     }
 
--- a/crates/daemon/src/gateway/send_metrics.rs
+++ b/crates/daemon/src/gateway/send_metrics.rs
@@ -60,7 +60,7 @@
     /// Counts the end of a batch call if it failed.
     pub(super) fn count_call_end(&mut self, call: CallId, outcome: &CallOutcome) {
         let failure_counter = self.call_failure_counters.remove(&call);
-        let is_failed = matches!(outcome, CallOutcome::Unknown | CallOutcome::Unreachable);
+        let is_failed = outcome.is_connection_loss() || *outcome == CallOutcome::ForeignAnswer;
         if let Some(failure_counter) = failure_counter.filter(|_| is_failed) {
             failure_counter.inc();
         }
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -131,8 +131,9 @@
     BatchEnded {
         /// Back end that ran the batch.
         backend: String,
-        /// `made`, or the reason of the failure: `not_run`, `unreachable`, `unknown`, or the
-        /// number of failed pieces by reason.
+        /// `made`, or the reason of the failure: `not_run`, `unreachable`, `withheld`,
+        /// `address_mismatch` if another back end answered, `foreign_answer` if another call's
+        /// answer came, `unknown`, or the number of failed pieces by reason.
         outcome: String,
         /// Duration in milliseconds.
         took_ms: u64,
--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -80,10 +80,26 @@
     /// Nothing was sent: after it was selected, the back end requested a back-off or reported
     /// that it is draining.
     BackendUnavailable,
+    /// Another back end answered at the address and ran nothing: the one that was called has ended.
+    AddressMismatch,
+    /// Another call's answer came in place of the own one. The call may have run.
+    ForeignAnswer,
     /// The call may have run.
     Unknown,
 }
 
+impl CallOutcome {
+    /// Whether the connection failed or was lost, so that the back end may be out of reach.
+    pub fn is_connection_loss(&self) -> bool {
+        matches!(self, CallOutcome::Unreachable | CallOutcome::Unknown)
+    }
+
+    /// Whether the back end may have crashed while it ran the call.
+    pub fn may_be_crash(&self) -> bool {
+        *self == CallOutcome::Unknown
+    }
+}
+
 /// An order that completed or failed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FinishedOrder {
@@ -178,7 +194,7 @@
         now: Millis,
     ) -> Result<(), PieceFailure> {
         self.announced.remove(&key);
-        if !self.has_eligible_backend(&work.shard, &work.regions, table) {
+        if !self.has_eligible_backend(&work.shard, &work.regions, table, now) {
             return Err(PieceFailure::NoBackend);
         }
         let priority = work.priority;
--- a/crates/serving/src/batcher/backend_health.rs
+++ b/crates/serving/src/batcher/backend_health.rs
@@ -119,7 +119,7 @@
         backend.rejects_until = backend.rejects_until.max(now + REJECTION_TIMEOUT);
     }
 
-    /// Records that a back end was unreachable or its answer was incomplete.
+    /// Records that a back end was unreachable, or its answer was incomplete or another call's.
     fn record_failure(&mut self, call: &FinishedCall<'_>, now: Millis) {
         let id = call.backend;
         let backend = self.backends.entry(id.to_owned()).or_default();
@@ -152,9 +152,11 @@
     ) {
         let id = call.backend;
         match outcome {
-            CallOutcome::BackendUnavailable => {}
+            CallOutcome::BackendUnavailable | CallOutcome::AddressMismatch => {}
             CallOutcome::NotRun => self.record_rejection(id, now),
-            CallOutcome::Unreachable | CallOutcome::Unknown => self.record_failure(call, now),
+            CallOutcome::Unreachable | CallOutcome::ForeignAnswer | CallOutcome::Unknown => {
+                self.record_failure(call, now)
+            }
             CallOutcome::Answered(_) => {
                 let relative_duration = call.relative_duration();
                 let recent = self.recent.entry(call.service.to_owned()).or_default();
@@ -182,7 +184,7 @@
     pub(super) fn rejecting_ms(&self, shard: &Shard, table: &InstanceTable, now: Millis) -> u32 {
         let accepting = table
             .of_shard(shard)
-            .filter(|instance| instance.accepts_new_work());
+            .filter(|instance| instance.may_get_new_work(now));
         let until = accepting.map(|instance| {
             let backend = self.backends.get(&instance.listed.id);
             backend.map_or(0, |backend| backend.rejects_until.saturating_sub(now))
@@ -196,7 +198,7 @@
         let mut earliest_ms = None;
         for backend in table
             .of_shard(shard)
-            .filter(|instance| instance.accepts_new_work())
+            .filter(|instance| instance.may_get_new_work(now))
         {
             match backend.wait_ms(now) {
                 0 => return 0,
@@ -275,6 +277,7 @@
         shard: &Shard,
         call: f64,
         table: &InstanceTable,
+        now: Millis,
     ) -> f64 {
         // Skips the scan of all back ends of the shard.
         if !table.notices().has_limits() {
@@ -282,7 +285,7 @@
         }
         let limited = table
             .of_shard(shard)
-            .filter(|instance| instance.accepts_new_work());
+            .filter(|instance| instance.may_get_new_work(now));
         let rates = limited.filter_map(Instance::limit);
         let per_ms = rates.map(|rate| rate.requests_per_second() / 1_000.0);
         per_ms.map(|rate| rate.min(1.0 / call)).sum()
@@ -299,7 +302,7 @@
         let usable = table.of_shard(shard).filter(|instance| {
             let id = &instance.listed.id;
             versions.admits(instance.role())
-                && instance.accepts_new_work()
+                && instance.may_get_new_work(now)
                 && !instance.is_in_backoff(now)
                 && !instance.is_limited()
                 && !self.has_failed(id)
--- a/crates/serving/src/batcher/estimate.rs
+++ b/crates/serving/src/batcher/estimate.rs
@@ -60,7 +60,7 @@
     ) -> Result<u64, PieceFailure> {
         let spec = self.specs.get(&shard.service);
         let spec = spec.ok_or(PieceFailure::NoBackend)?;
-        if !self.has_eligible_backend(shard, &RegionFilter::any(), table) {
+        if !self.has_eligible_backend(shard, &RegionFilter::any(), table, now) {
             return Err(PieceFailure::NoBackend);
         }
         let level = usize::from(priority).min(PRIORITY_LEVELS - 1);
@@ -126,7 +126,7 @@
         let until_free = until_free.max(backoff_ms);
         let pieces_of_call = spec.pieces as f64 * self.averages_of(shard).fill_ratio;
         let call = spec.call_ms + spec.piece_ms * pieces_of_call;
-        let of_limited = self.backends.limited_calls_per_ms(shard, call, table);
+        let of_limited = self.backends.limited_calls_per_ms(shard, call, table, now);
         let calls_per_ms = match working_count == 0 && of_limited > 0.0 {
             true => of_limited,
             false => backends as f64 / call + of_limited,
--- a/crates/serving/src/batcher/outcomes.rs
+++ b/crates/serving/src/batcher/outcomes.rs
@@ -47,10 +47,11 @@
         self.record_call_outcome(&state, &outcome, now);
         match outcome {
             CallOutcome::Answered(results) => self.answered(&state, results, now),
-            CallOutcome::NotRun | CallOutcome::Unreachable | CallOutcome::BackendUnavailable => {
-                self.requeue(&state, false)
-            }
-            CallOutcome::Unknown => self.requeue(&state, true),
+            CallOutcome::NotRun
+            | CallOutcome::Unreachable
+            | CallOutcome::BackendUnavailable
+            | CallOutcome::AddressMismatch => self.requeue(&state, false),
+            CallOutcome::ForeignAnswer | CallOutcome::Unknown => self.requeue(&state, true),
         }
     }
 
@@ -226,16 +227,21 @@
     }
 
     /// Fails the waiting orders that no back end of their shard may process, because all shut
-    /// down, their zone is evacuated or their region is not allowed. The submitter can then use
-    /// another shard or reject the request.
-    pub fn reject_orders_without_backend(&mut self, table: &InstanceTable) -> Vec<FinishedOrder> {
+    /// down or have ended, their zone is evacuated or their region is not allowed. The submitter can
+    /// then use another shard or reject the request.
+    pub fn reject_orders_without_backend(
+        &mut self,
+        table: &InstanceTable,
+        now: Millis,
+    ) -> Vec<FinishedOrder> {
         let any = RegionFilter::any();
-        let lacks_backends = |shard: &&Shard| !self.has_eligible_backend(shard, &any, table);
+        let lacks_backends = |shard: &&Shard| !self.has_eligible_backend(shard, &any, table, now);
         let shards_without_backend: BTreeSet<Shard> =
             self.shards.keys().filter(lacks_backends).cloned().collect();
         let has_no_allowed_backend = |order: &Order| {
             let regions = &order.work.regions;
-            regions.is_restricted() && !self.has_eligible_backend(&order.work.shard, regions, table)
+            let shard = &order.work.shard;
+            regions.is_restricted() && !self.has_eligible_backend(shard, regions, table, now)
         };
         let orders = self.orders.iter().filter(|(_, order)| order.is_waiting());
         let ended = orders.filter(|(_, order)| {
@@ -256,6 +262,8 @@
         CallOutcome::NotRun => return "not_run".to_owned(),
         CallOutcome::Unreachable => return "unreachable".to_owned(),
         CallOutcome::BackendUnavailable => return "withheld".to_owned(),
+        CallOutcome::AddressMismatch => return "address_mismatch".to_owned(),
+        CallOutcome::ForeignAnswer => return "foreign_answer".to_owned(),
         CallOutcome::Unknown => return "unknown".to_owned(),
     };
     let mut failures: BTreeMap<PieceFailure, usize> = BTreeMap::new();
--- a/crates/serving/src/batcher/versions.rs
+++ b/crates/serving/src/batcher/versions.rs
@@ -72,7 +72,7 @@
                     false => VersionChoice::Baseline,
                 }
             }
-            VersionChoice::Baseline if self.may_be_stopped(shard, table) => {
+            VersionChoice::Baseline if self.may_be_stopped(shard, table, now) => {
                 VersionChoice::Candidate
             }
             choice => choice,
@@ -92,9 +92,9 @@
 
     /// Whether the baseline may have been stopped: the rollout may have completed without this
     /// node having been informed.
-    fn may_be_stopped(&self, shard: &Shard, table: &InstanceTable) -> bool {
+    fn may_be_stopped(&self, shard: &Shard, table: &InstanceTable, now: Millis) -> bool {
         let is_ready = |instance: &Instance| {
-            instance.role() == VersionRole::Baseline && instance.accepts_new_work()
+            instance.role() == VersionRole::Baseline && instance.may_get_new_work(now)
         };
         !self.rollouts.is_permitted() && !table.of_shard(shard).any(is_ready)
     }
@@ -114,11 +114,12 @@
         shard: &Shard,
         regions: &RegionFilter,
         table: &InstanceTable,
+        now: Millis,
     ) -> bool {
         let has_moved = self.rollouts.has_moved(&shard.service, BATCH_ROUTE);
-        let takes_candidate = has_moved || self.may_be_stopped(shard, table);
+        let takes_candidate = has_moved || self.may_be_stopped(shard, table, now);
         let may_get_calls = |instance: &Instance| {
-            instance.accepts_new_work()
+            instance.may_get_new_work(now)
                 && (takes_candidate || instance.role() != VersionRole::Candidate)
                 && self.allows(regions, &instance.listed.zone)
         };
@@ -162,9 +163,11 @@
         outcome: &CallOutcome,
     ) {
         let answer = match outcome {
-            CallOutcome::NotRun | CallOutcome::Unreachable | CallOutcome::BackendUnavailable => {
-                return
-            }
+            CallOutcome::NotRun
+            | CallOutcome::Unreachable
+            | CallOutcome::BackendUnavailable
+            | CallOutcome::AddressMismatch
+            | CallOutcome::ForeignAnswer => return,
             CallOutcome::Unknown => CountedAnswer::Bad,
             CallOutcome::Answered(results) if results.contains(&Err(PieceFailure::Failed)) => {
                 CountedAnswer::Bad
--- a/crates/serving/src/instances/instance.rs
+++ b/crates/serving/src/instances/instance.rs
@@ -99,6 +99,11 @@
         !is_draining && !self.is_evacuated && self.role != VersionRole::Retired
     }
 
+    /// Whether it accepts new work and has not ended, as far as is known at `now`.
+    pub fn may_get_new_work(&self, now: Millis) -> bool {
+        self.accepts_new_work() && !self.has_address_mismatch(now)
+    }
+
     /// Whether it has reported that it shuts down.
     pub fn announced_shutdown(&self) -> bool {
         self.notice.is_draining()
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -257,10 +257,14 @@
     fn run_call(&self, id: String, instance: &str, pieces: &[(Piece, u64)]) -> BackendCall;
 
     /// Parses the answer to a call with `pieces` pieces; none if it is malformed or incomplete.
-    fn read_run(&self, body: &[u8], pieces: usize) -> Option<PieceResults>;
+    fn read_run(&self, body: &[u8], pieces: usize) -> Option<PieceResults> {
+        let results = self.read_results(body);
+        results.filter(|results| results.len() == pieces)
+    }
 
-    /// Whether a body is that of an answer to a batch call.
-    fn has_results(&self, body: &[u8]) -> bool;
+    /// Parses the answer to a batch call with any number of pieces; none if the body is not that of
+    /// one.
+    fn read_results(&self, body: &[u8]) -> Option<PieceResults>;
 
     /// Builds the call `id` that frees results at their maker, the back end `instance`.
     fn free_call(&self, id: String, instance: &str, handles: &[ResultHandle]) -> BackendCall;
--- a/crates/serving/tests/allowed_regions.rs
+++ b/crates/serving/tests/allowed_regions.rs
@@ -256,11 +256,11 @@
     batcher
         .submit(key(2), work(2, 2), &table, 0)
         .expect("taken");
-    assert!(batcher.reject_orders_without_backend(&table).is_empty());
+    assert!(batcher.reject_orders_without_backend(&table, 0).is_empty());
     table.set_evacuated(set(&["b"]), 10);
     let refused = batcher.submit(key(3), in_south(3), &table, 10);
     assert_eq!(refused, Err(PieceFailure::NoBackend));
-    let ended = batcher.reject_orders_without_backend(&table);
+    let ended = batcher.reject_orders_without_backend(&table, 10);
     let ended: Vec<_> = ended
         .into_iter()
         .map(|order| (order.key, order.result))
--- a/crates/serving/tests/batcher.rs
+++ b/crates/serving/tests/batcher.rs
@@ -94,6 +94,76 @@
     assert_eq!(finished[0].result, Err(PieceFailure::Failed));
 }
 
+/// The pieces may have run, so that the tries of a piece are limited, and its back end is passed over.
+#[test]
+fn a_call_that_got_the_answer_of_another_counts_as_a_try_and_as_a_failure_of_its_back_end() {
+    let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 1), &table, 0)
+        .expect("accepted");
+    let mut now = 0;
+    for _ in 0..2 {
+        let call = batcher.next_calls(&table, now).remove(0);
+        let outcome = CallOutcome::ForeignAnswer;
+        assert!(batcher.call_ended(call.call, outcome, now).is_empty());
+        assert!(batcher.next_calls(&table, now + 100).is_empty());
+        now += 600;
+    }
+    let call = batcher.next_calls(&table, now).remove(0);
+    let finished = batcher.call_ended(call.call, CallOutcome::ForeignAnswer, now);
+    assert_eq!(finished[0].result, Err(PieceFailure::Failed));
+}
+
+/// The list goes on naming a back end for seconds after another one took over its address.
+#[test]
+fn pieces_turned_away_at_an_address_run_elsewhere_and_do_not_count_as_tried() {
+    let (mut table, mut batcher) = (table(&[("s1", "a"), ("s2", "a"), ("s3", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 1), &table, 0)
+        .expect("accepted");
+    let mut called = Vec::new();
+    for now in 0..2 {
+        let call = batcher.next_calls(&table, now).remove(0);
+        table.record_address_mismatch(&call.instance, now);
+        let outcome = CallOutcome::AddressMismatch;
+        assert!(batcher.call_ended(call.call, outcome, now).is_empty());
+        called.push(call.instance);
+    }
+    let call = batcher.next_calls(&table, 2).remove(0);
+    assert!(!called.contains(&call.instance), "{called:?}");
+    assert_eq!(batcher.call_ended(call.call, made(&call), 260).len(), 1);
+    for request in 2..5 {
+        batcher
+            .submit(key(request), work(request, 8), &table, 2_000)
+            .expect("accepted");
+    }
+    let instances = |calls: Vec<BatchCall>| calls.into_iter().map(|call| call.instance);
+    let next: Vec<String> = instances(batcher.next_calls(&table, 2_000)).collect();
+    assert_eq!(next, [call.instance]);
+}
+
+/// Orders would wait until their deadlines for back ends that have ended.
+#[test]
+fn orders_of_a_shard_whose_back_ends_have_all_ended_are_refused_at_once() {
+    let (mut table, mut batcher) = (table(&[("s1", "a")]), batcher());
+    batcher
+        .submit(key(1), work(1, 1), &table, 0)
+        .expect("accepted");
+    let call = batcher.next_calls(&table, 0).remove(0);
+    table.record_address_mismatch(&call.instance, 10);
+    assert!(batcher
+        .call_ended(call.call, CallOutcome::AddressMismatch, 10)
+        .is_empty());
+    let ended = batcher.reject_orders_without_backend(&table, 10);
+    assert_eq!(ended[0].result, Err(PieceFailure::NoBackend));
+    let refused = batcher.submit(key(2), work(2, 1), &table, 20);
+    assert_eq!(refused, Err(PieceFailure::NoBackend));
+    let mut successor = common::instance("s1", "encode", "a");
+    successor.address = "s1:81".into();
+    table.replace_list(&[successor]);
+    assert_eq!(batcher.submit(key(3), work(3, 1), &table, 30), Ok(()));
+}
+
 #[test]
 fn an_order_submitted_twice_runs_once() {
     let (table, mut batcher) = (table(&[("s1", "a")]), batcher());
--- a/crates/serving/tests/batcher_rollouts.rs
+++ b/crates/serving/tests/batcher_rollouts.rs
@@ -170,7 +170,7 @@
     owner.set_directive(directive(1, 0, &[BATCH_ROUTE]));
     owner.submit_order(1, 0).expect("accepted");
     owner.apply_rollout(&rollout(1, "encode", "v2", rolled_back()));
-    let ended = owner.batcher.reject_orders_without_backend(&owner.table);
+    let ended = owner.batcher.reject_orders_without_backend(&owner.table, 0);
     assert_eq!(ended[0].result, Err(PieceFailure::NoBackend));
     assert_eq!(owner.submit_order(1, 0), Err(PieceFailure::NoBackend));
 }
@@ -228,8 +228,10 @@
 #[rstest]
 #[case::refused(CallOutcome::NotRun, 0)]
 #[case::not_reached(CallOutcome::Unreachable, 0)]
+#[case::answered_by_another_back_end(CallOutcome::AddressMismatch, 0)]
+#[case::answered_as_another_call(CallOutcome::ForeignAnswer, 0)]
 #[case::broken(CallOutcome::Unknown, 1)]
-fn a_call_without_an_answer_is_bad_if_it_may_have_run(
+fn a_call_without_an_answer_is_bad_if_its_connection_was_lost(
     #[case] outcome: CallOutcome,
     #[case] bad: u64,
 ) {
--- a/crates/serving/tests/batcher_room.rs
+++ b/crates/serving/tests/batcher_room.rs
@@ -134,9 +134,9 @@
     }
     let calls = batcher.next_calls(&table, 0);
     assert_eq!(calls.len(), 1);
-    assert!(batcher.reject_orders_without_backend(&table).is_empty());
+    assert!(batcher.reject_orders_without_backend(&table, 0).is_empty());
     table.set_evacuated(["a".to_owned()].into(), 10);
-    let ended = batcher.reject_orders_without_backend(&table);
+    let ended = batcher.reject_orders_without_backend(&table, 10);
     assert_eq!(ended.len(), 1);
     assert_eq!(ended[0].key, key(2));
     assert_eq!(ended[0].result, Err(PieceFailure::NoBackend));
--- a/crates/serving/tests/rest_seeds.rs
+++ b/crates/serving/tests/rest_seeds.rs
@@ -119,7 +119,7 @@
         self.apply_actions(waiting, now);
         self.batcher.expire(now);
         let table = &self.dispatcher.instances;
-        self.batcher.reject_orders_without_backend(table);
+        self.batcher.reject_orders_without_backend(table, now);
         self.batcher.reject_orders_delayed_by_backoff(table, now);
         self.start_calls(now);
     }
--- a/crates/serving/tests/rests.rs
+++ b/crates/serving/tests/rests.rs
@@ -485,7 +485,7 @@
             .submit(key(1), work(1, 1), &table, 0)
             .expect("taken");
         report(&table, &["s1"], &DRAINING, 0);
-        let ended = batcher.reject_orders_without_backend(&table);
+        let ended = batcher.reject_orders_without_backend(&table, 0);
         assert_eq!(ended.len(), 1);
         assert_eq!(ended[0].result, Err(PieceFailure::NoBackend));
     }
