A node asks once in its interval whether a brittle back end still is one

Callers would see: a back end that fails when it rejects too much got requests from all nodes again while answers were lost, and failed.

Cause: a node that leaves a brittle back end to others moved its next question only when an answer came, so that each request after a lost one was a question.

Change: the question counts when the request or the batch call is sent; the answer moves it again, as before.

That a batch call is a question is not tested.

--- a/crates/serving/src/batcher.rs
+++ b/crates/serving/src/batcher.rs
@@ -316,9 +316,7 @@
             pieces.push((piece, order.deadline.saturating_sub(now)));
         }
         self.result_memory.reserve(backend, result_bytes);
-        if let Some(instance) = table.get(backend) {
-            instance.reserve_permit(now);
-        }
+        table.record_call(backend, now);
         let listed = table.get(backend).map(|instance| instance.listed.clone());
         let (name, address, version) = listed
             .map(|entry| {
--- a/crates/serving/src/instances.rs
+++ b/crates/serving/src/instances.rs
@@ -213,6 +213,14 @@
         });
     }
 
+    /// Records that a batch call is sent to a back end.
+    pub(crate) fn record_call(&self, id: &str, now: Millis) {
+        if let Some(instance) = self.instances.get(id) {
+            instance.reserve_permit(now);
+            self.notices.record_question(&instance.notice, now);
+        }
+    }
+
     /// Records that a request of `tokens` tokens is sent to a back end.
     pub fn record_sent(&mut self, id: &str, tokens: u64, now: Millis) {
         if let Some(instance) = self.instances.get_mut(id) {
@@ -223,6 +231,7 @@
                 instance.probe_sent_at = Some(now);
             }
             instance.reserve_permit(now);
+            self.notices.record_question(&instance.notice, now);
             instance.in_flight += 1;
             instance.tokens_in_flight += tokens;
             instance.sent_since_report += 1;
--- a/crates/serving/src/notices/brittle.rs
+++ b/crates/serving/src/notices/brittle.rs
@@ -66,6 +66,17 @@
         true
     }
 
+    /// Records that a request or call is sent to a back end, which its answer may show not to be brittle any
+    /// more. The next question waits for its interval, also if this answer is lost.
+    pub(crate) fn record_question(&self, notice: &BackendNotice, now: Millis) {
+        let max_rejections = notice.max_rejections.load(Ordering::Acquire);
+        if max_rejections == 0 {
+            return;
+        }
+        let ask_at = now.saturating_add(self.asking_interval(max_rejections, now));
+        notice.ask_brittleness_at.store(ask_at, Ordering::Release);
+    }
+
     /// Back-off of this node after a rejection by a brittle back end, in milliseconds; none for
     /// other answers.
     pub(super) fn backoff_of_brittle(&self, report: &SelfReport, now: Millis) -> Option<Millis> {
