--- a/crates/daemon/src/gateway/event.rs
+++ b/crates/daemon/src/gateway/event.rs
@@ -1,6 +1,7 @@
 //! Messages between the gateway's tasks and its actor.
 
 use crate::evacuation::EvacuationRequest;
+use crate::gateway::call_types::CalledBackend;
 use crate::gateway::entry_points::EntryPointLookup;
 use crate::rollout::RolloutOutcome;
 use silversail_control::{EvacuationRevision, PublishReply, PublishedTraffic};
@@ -91,8 +92,8 @@
     },
     /// Another back end answered at a back end's address.
     AddressMismatch {
-        /// Identifier of the back end that was called.
-        instance: String,
+        /// Back end that was called.
+        called: CalledBackend,
     },
     /// The backend list was read completely.
     BackendListRead(ListRead),
