Attributes that crash again are refused for the tenants whose requests crashed

An operator who lifted the refusal of a prompt part for one tenant, and whose part crashed back ends again, would have seen it refused for all tenants, though no other tenant's request had crashed anything.

Cause: the leader counted the verdicts on an attribute, and took any earlier one as evidence of a second tenant. It now remembers whose interrupted requests each verdict rested on: one tenant in all verdicts keeps the refusal to that tenant, a second one extends it to all as before.

Evidence: quarantine/tests/attributes.rs, a lifted part that crashes again: failed for the same tenant before (refused for all instead of only t1), passes now; with another tenant it is refused for all before and after. Only the leader's memory changes.

--- a/crates/quarantine/src/attributes/judgement.rs
+++ b/crates/quarantine/src/attributes/judgement.rs
@@ -77,12 +77,23 @@
     }
 }
 
+/// Tenants of requests; none stands for those of routes that need no API key.
+type Tenants = BTreeSet<Option<String>>;
+
+/// Earlier verdicts on one attribute of a service.
+#[derive(Debug, Default)]
+struct EarlierVerdicts {
+    count: u32,
+    /// Tenants whose interrupted requests the verdicts rested on.
+    tenants: Tenants,
+}
+
 /// Decides on the evidence of the leader. Remembers what was refused, as evidence of another tenant
 /// makes a verdict on one apply to all.
 #[derive(Debug, Default)]
 pub struct AttributeJudge {
-    /// Number of verdicts on each attribute of a service.
-    verdicts: BTreeMap<(String, RequestAttribute), u32>,
+    /// Verdicts on each attribute of a service.
+    verdicts: BTreeMap<(String, RequestAttribute), EarlierVerdicts>,
 }
 
 /// Evidence against one attribute.
@@ -123,23 +134,29 @@
     /// Remembers that a verdict was committed.
     pub fn record_refused(&mut self, verdict: &AttributeVerdict) {
         let service = verdict.group.service.clone();
-        *self
-            .verdicts
-            .entry((service, verdict.attribute))
-            .or_default() += 1;
+        let verdicts = self.verdicts.entry((service, verdict.attribute));
+        let verdicts = verdicts.or_default();
+        verdicts.count += 1;
+        let tenants = tenants_of(&verdict.crashes, &verdict.attribute);
+        verdicts.tenants.extend(tenants);
     }
 
-    fn verdicts_on(&self, group: &BackendGroup, attribute: RequestAttribute) -> u32 {
+    fn verdicts_on(
+        &self,
+        group: &BackendGroup,
+        attribute: RequestAttribute,
+    ) -> Option<&EarlierVerdicts> {
         let known = (group.service.clone(), attribute);
-        self.verdicts.get(&known).copied().unwrap_or_default()
+        self.verdicts.get(&known)
     }
 
     /// Time for which an attribute that was answered before is refused. It may be sound, and can't
     /// show that while it is refused; each time that it crashes a back end again, it is refused for
     /// longer.
     fn trial_refusal(&self, group: &BackendGroup, attribute: RequestAttribute) -> u64 {
-        let earlier = self.verdicts_on(group, attribute).min(MAX_TRIALS);
-        FIRST_REFUSAL_MS * REFUSAL_GROWTH.pow(earlier)
+        let earlier = self.verdicts_on(group, attribute);
+        let count = earlier.map_or(0, |verdicts| verdicts.count);
+        FIRST_REFUSAL_MS * REFUSAL_GROWTH.pow(count.min(MAX_TRIALS))
     }
 
     /// Attributes that are to be refused at `now`, in addition to those on `list`.
@@ -208,16 +225,10 @@
         candidate: &Candidate,
         answers: &GroupAnswers,
     ) -> AttributeVerdict {
-        let tenants = tenants_of(&candidate.crashes, &candidate.attribute);
-        let is_known = self.verdicts_on(group, candidate.attribute) > 0;
-        let tenants = match tenants.as_slice() {
-            [only] if !is_known => TenantScope::Only(only.clone()),
-            _ => TenantScope::All,
-        };
         AttributeVerdict {
             group: group.clone(),
             attribute: candidate.attribute,
-            tenants,
+            tenants: self.refused_tenants(group, candidate),
             refused_for_ms: candidate
                 .was_answered
                 .then(|| self.trial_refusal(group, candidate.attribute)),
@@ -230,6 +241,20 @@
         }
     }
 
+    /// The tenant whose requests crashed back ends, by this evidence and that of earlier verdicts;
+    /// all tenants if there were several.
+    fn refused_tenants(&self, group: &BackendGroup, candidate: &Candidate) -> TenantScope {
+        let crashes = candidate.crashes.iter().copied();
+        let mut tenants = tenants_of(crashes, &candidate.attribute);
+        if let Some(earlier) = self.verdicts_on(group, candidate.attribute) {
+            tenants.extend(earlier.tenants.iter().cloned());
+        }
+        match (tenants.pop_first(), tenants.is_empty()) {
+            (Some(only), true) => TenantScope::Only(only),
+            _ => TenantScope::All,
+        }
+    }
+
     /// Attributes that were refused before and are released: one crash more has them refused again.
     fn on_probation(
         &self,
@@ -380,13 +405,15 @@
     moments
 }
 
-fn tenants_of(crashes: &[&AttributeCrash], attribute: &RequestAttribute) -> Vec<Option<String>> {
-    let requests = crashes.iter().flat_map(|crash| &crash.requests);
+fn tenants_of<'a>(
+    crashes: impl IntoIterator<Item = &'a AttributeCrash>,
+    attribute: &RequestAttribute,
+) -> Tenants {
+    let requests = crashes.into_iter().flat_map(|crash| &crash.requests);
     let with_attribute = requests.filter(|request| request.attributes.contains(attribute));
-    let tenants: BTreeSet<Option<String>> = with_attribute
+    with_attribute
         .map(|request| request.tenant.clone())
-        .collect();
-    tenants.into_iter().collect()
+        .collect()
 }
 
 fn cleared_attributes(
--- a/crates/quarantine/tests/attributes.rs
+++ b/crates/quarantine/tests/attributes.rs
@@ -219,6 +219,36 @@
     );
 }
 
+/// Guards against a refusal for all tenants that rests on one tenant's crashes alone.
+#[rstest]
+#[case::the_same_tenant("t1", only("t1"))]
+#[case::another_tenant("t2", TenantScope::All)]
+fn a_lifted_part_that_crashes_again_is_refused_for_the_tenants_whose_requests_crashed(
+    #[case] tenant: &str,
+    #[case] expected: TenantScope,
+) {
+    let mut case = Case::default();
+    for (number, tenant) in ["t1", "t1", "t1", tenant, tenant, tenant]
+        .into_iter()
+        .enumerate()
+    {
+        if number == 3 {
+            assert_eq!(case.refused(3_500), []);
+            case.list.refused.clear();
+            case.list.revision += 1;
+        }
+        let at = 1_000 * (number as u64 + 1);
+        case.crash(at, &format!("e{number}"), &[(tenant, &[GUILTY])]);
+        case.answer(at + 300, &[OTHER]);
+        let refused = case.refused(at + 400);
+        match number {
+            2 => assert_eq!(refused, [(GUILTY, only("t1"))]),
+            5 => assert_eq!(refused, [(GUILTY, expected.clone())]),
+            _ => assert_eq!(refused, [], "after crash {number}"),
+        }
+    }
+}
+
 #[test]
 fn without_any_answer_since_more_crashes_are_required() {
     let mut case = Case::default();
