A probation ends by an answer at the version that crashed, since the release

A prompt part that crashes the engines of one software version, is refused and then released on probation, would have been cleared by an answer at another version, or by one that had begun before the refusal; callers would then have lost three or more engines again instead of one.

Cause: a node told such an answer by the attribute's fingerprint alone, without time and version, and the leader took it as proof. Each voter now remembers from the crashes that it saw which attribute a fingerprint on the list stands for and at which versions it crashed back ends. Relays have attributes on probation watched like suspected ones, so that nodes report their answers with time and version, and the leader ends a probation by these alone. For the same reason a crash at another version no longer has an attribute on probation refused at once; it counts as evidence there. A voter that started after the verdict has the fingerprint only and takes a node's word as before.

The cases on probation in quarantine/tests/attributes.rs check the crash at another version and the answer before a crash; they need the new code and were not run without it.

--- a/crates/daemon/src/quarantine/leader.rs
+++ b/crates/daemon/src/quarantine/leader.rs
@@ -93,14 +93,15 @@
             self.commit_verdicts(cx, verdicts);
             return;
         }
-        let completed_requests = self
+        let told = self
             .setup
             .crash_table
             .borrow_mut()
             .take_completed_requests();
-        if !completed_requests.is_empty() {
+        let successes = self.setup.attribute_evidence.borrow().successes(told);
+        if !successes.is_empty() {
             let command = QuarantineCommand::RecordSuccesses {
-                fingerprints: completed_requests.into_iter().collect(),
+                fingerprints: successes.into_iter().collect(),
                 limits: self.setup.limits,
             };
             self.commit(cx, command, PendingCommit::default());
--- a/crates/quarantine/src/attributes/evidence.rs
+++ b/crates/quarantine/src/attributes/evidence.rs
@@ -1,12 +1,13 @@
 //! The reports of all nodes on attributes, as each voter collects them.
 
+use super::refused::{RefusedAttribute, RefusedAttributes};
 use super::report::{
     AnsweredAttributes, AttributeCrashReport, AttributeReport, InterruptedRequest,
     WatchedAttributes,
 };
 use super::{attribute_fingerprints, BackendGroup};
 use crate::list::{QuarantineList, QuarantineRevision};
-use silversail_model::RequestAttribute;
+use silversail_model::{RequestAttribute, RequestFingerprint};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Milliseconds of the voter's own monotonic clock.
@@ -37,6 +38,8 @@
 const MAX_ANSWERED: usize = 1_024;
 /// Maximum number of watched attributes; those of the fewest crashes are left out first.
 const MAX_WATCHED: usize = 128;
+/// Maximum number of attributes on probation that are watched as well.
+const MAX_WATCHED_ON_PROBATION: usize = 64;
 
 /// A crash of a back end, combined from the reports of several nodes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -97,6 +100,7 @@
 pub struct AttributeEvidence {
     crashes: Vec<AttributeCrash>,
     answers: BTreeMap<BackendGroup, GroupAnswers>,
+    refused: RefusedAttributes,
     /// Whether there is something that was not forwarded.
     has_news: bool,
     forwarded_at: Millis,
@@ -166,23 +170,31 @@
             .iter_mut()
             .filter(|crash| crash.checked_with != Some(list.revision));
         for crash in unchecked {
-            crash.is_explained = crash.is_explained || crash.is_explained_by(list);
             crash.checked_with = Some(list.revision);
+            if !crash.is_explained && crash.is_explained_by(list) {
+                crash.is_explained = true;
+                self.refused.record_crash(crash, list);
+            }
         }
+        self.refused.update(list, now);
         self.forget_answers();
     }
 
-    /// Forgets answers to requests without an attribute of a crash once there are many.
+    /// Forgets answers to requests without an attribute of a crash, or one on probation, once there
+    /// are many.
     fn forget_answers(&mut self) {
         let crashes = &self.crashes;
+        let refused = &self.refused;
         for (group, answers) in &mut self.answers {
             if answers.by_attribute.len() <= MAX_ANSWERED {
                 continue;
             }
             let of_group = crashes.iter().filter(|crash| crash.group == *group);
+            let on_probation = refused.on_probation();
             let suspected: BTreeSet<RequestAttribute> = of_group
                 .flat_map(|crash| &crash.requests)
                 .flat_map(|request| request.attributes.iter().copied())
+                .chain(on_probation.map(|(_, refused, _)| refused.attribute))
                 .collect();
             let answers = &mut answers.by_attribute;
             answers.retain(|attribute, _| suspected.contains(attribute));
@@ -226,7 +238,47 @@
         self.answers.get(group).cloned().unwrap_or_default()
     }
 
-    /// Attributes of recent crashes that nothing explains yet, of which nodes report answers.
+    /// Requests and attributes that answers show to be sound: those that nodes `told` by their
+    /// fingerprints, and the attributes whose probation ends. An attribute is told without the time
+    /// and software version of its answer, and so only counts if its crashes are not known here.
+    pub fn successes(&self, told: BTreeSet<RequestFingerprint>) -> BTreeSet<RequestFingerprint> {
+        let told = told.into_iter();
+        let told = told.filter(|fingerprint| self.refused.get(fingerprint).is_none());
+        let on_probation = self.refused.on_probation();
+        let cleared = on_probation
+            .filter(|(_, refused, released_at)| self.is_sound(refused, *released_at))
+            .map(|(fingerprint, _, _)| fingerprint);
+        told.chain(cleared).collect()
+    }
+
+    /// Whether answers began after the release of an attribute wherever it crashed back ends, and
+    /// none of these crashed under it since.
+    fn is_sound(&self, refused: &RefusedAttribute, released_at: Millis) -> bool {
+        let mut groups = refused.groups.iter();
+        groups.all(|group| {
+            let crashes = self.crashes.iter().filter(|crash| crash.group == *group);
+            let crashes = crashes.filter(|crash| crash.has(&refused.attribute));
+            let last_crash = crashes.map(|crash| crash.at).max();
+            let since = last_crash.map_or(released_at, |at| at.max(released_at));
+            let answers = self.answers.get(group);
+            let answer = answers.and_then(|answers| answers.by_attribute.get(&refused.attribute));
+            answer.is_some_and(|began_at| *began_at > since)
+        })
+    }
+
+    /// Whether one more crash of a back end of `group` has an attribute on probation refused again.
+    /// If its crashes are not known here, those of any group do.
+    pub(super) fn is_on_probation_at(
+        &self,
+        fingerprint: &RequestFingerprint,
+        group: &BackendGroup,
+    ) -> bool {
+        let refused = self.refused.get(fingerprint);
+        refused.is_none_or(|refused| refused.groups.contains(group))
+    }
+
+    /// Attributes of recent crashes that nothing explains yet, and those on probation, of which
+    /// nodes report answers.
     pub fn watched(&self, now: Millis) -> Vec<WatchedAttributes> {
         let mut counts: BTreeMap<(&BackendGroup, RequestAttribute), usize> = BTreeMap::new();
         let is_recent = |crash: &&AttributeCrash| now.saturating_sub(crash.at) < WATCH_DURATION;
@@ -243,9 +295,18 @@
         let mut most_suspected: Vec<_> = counts.into_iter().collect();
         most_suspected.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
         most_suspected.truncate(MAX_WATCHED);
+        let suspected = most_suspected.into_iter().map(|(suspected, _)| suspected);
+        let on_probation = self.refused.on_probation();
+        let on_probation = on_probation.flat_map(|(_, refused, _)| {
+            let groups = refused.groups.iter();
+            groups.map(|group| (group, refused.attribute))
+        });
         let mut by_group: BTreeMap<&BackendGroup, Vec<RequestAttribute>> = BTreeMap::new();
-        for ((group, attribute), _) in most_suspected {
-            by_group.entry(group).or_default().push(attribute);
+        for (group, attribute) in suspected.chain(on_probation.take(MAX_WATCHED_ON_PROBATION)) {
+            let attributes = by_group.entry(group).or_default();
+            if !attributes.contains(&attribute) {
+                attributes.push(attribute);
+            }
         }
         let watched = by_group
             .into_iter()
@@ -267,7 +328,9 @@
         let is_due = now.saturating_sub(self.forwarded_at) >= interval;
         let is_recent = |crash: &AttributeCrash| now.saturating_sub(crash.at) < WATCH_DURATION;
         let has_unexplained = |crash: &AttributeCrash| !crash.is_explained && is_recent(crash);
-        if !is_due || !self.crashes.iter().any(has_unexplained) {
+        let is_watching = self.crashes.iter().any(has_unexplained)
+            || self.refused.on_probation().next().is_some();
+        if !is_due || !is_watching {
             return None;
         }
         self.has_news = false;
--- a/crates/quarantine/src/attributes/judgement.rs
+++ b/crates/quarantine/src/attributes/judgement.rs
@@ -169,7 +169,7 @@
         let mut verdicts = Vec::new();
         for (group, crashes) in evidence.counted_crashes(now) {
             let answers = evidence.answers_of(group);
-            verdicts.extend(self.on_probation(group, &crashes, list));
+            verdicts.extend(self.on_probation(group, &crashes, evidence, list));
             let mut unexplained = crashes;
             loop {
                 let found = self.judge_group(group, &unexplained, &answers, now);
@@ -260,8 +260,12 @@
         &self,
         group: &BackendGroup,
         crashes: &[&AttributeCrash],
+        evidence: &AttributeEvidence,
         list: &QuarantineList,
     ) -> Vec<AttributeVerdict> {
+        let is_on_probation = |fingerprint: &RequestFingerprint| {
+            list.watched.contains(fingerprint) && evidence.is_on_probation_at(fingerprint, group)
+        };
         let mut verdicts: BTreeMap<RequestFingerprint, AttributeVerdict> = BTreeMap::new();
         for crash in crashes {
             for request in &crash.requests {
@@ -271,7 +275,7 @@
                 for (attribute, fingerprint) in
                     attribute_fingerprints(&group.service, tenant, attributes)
                 {
-                    if !list.watched.contains(&fingerprint) {
+                    if !is_on_probation(&fingerprint) {
                         continue;
                     }
                     let of_tenant =
--- a/crates/quarantine/src/attributes/mod.rs
+++ b/crates/quarantine/src/attributes/mod.rs
@@ -9,10 +9,12 @@
 //! - [`report`]: what nodes and voters tell each other
 //! - [`reporter`]: what one node has observed and still has to report
 //! - [`evidence`]: the reports of all nodes, as a voter collects them
+//! - `refused`: which attributes the quarantine list stands for, and where they crashed back ends
 //! - [`judgement`]: which attributes the evidence is sufficient to refuse
 
 pub mod evidence;
 pub mod judgement;
+mod refused;
 pub mod report;
 pub mod reporter;
 
--- a/crates/quarantine/tests/attributes.rs
+++ b/crates/quarantine/tests/attributes.rs
@@ -6,6 +6,7 @@
     AnsweredAttributes, AttributeCrashReport, AttributeEvidence, AttributeJudge, AttributeReport,
     AttributeReporter, AttributeVerdict, BackendGroup, InterruptedRequest, QuarantineList,
 };
+use std::collections::BTreeSet;
 
 type Millis = u64;
 
@@ -21,15 +22,45 @@
 }
 
 /// Evidence of one service, told at the time at which it happened.
-#[derive(Default)]
 struct Case {
+    /// Software version of the back ends that crash.
+    version: String,
     evidence: AttributeEvidence,
     judge: AttributeJudge,
     list: QuarantineList,
     requests: u64,
 }
 
+impl Default for Case {
+    fn default() -> Self {
+        Self {
+            version: "v1".to_owned(),
+            evidence: AttributeEvidence::default(),
+            judge: AttributeJudge::default(),
+            list: QuarantineList::default(),
+            requests: 0,
+        }
+    }
+}
+
 impl Case {
+    /// The guilty part was refused for its crashes of three back ends of `v1`, and is on probation
+    /// since 9,000 ms.
+    fn on_probation() -> Self {
+        let mut case = Self::default();
+        for number in 0..3 {
+            let at = 1_000 * (number + 1);
+            case.crash(at, &format!("e{number}"), &[("t1", &[GUILTY])]);
+            case.answer(at + 300, &[OTHER]);
+        }
+        assert_eq!(case.refused(3_400), [(GUILTY, only("t1"))]);
+        assert_eq!(case.refused(3_500), []);
+        case.list.watched = std::mem::take(&mut case.list.refused);
+        case.list.revision += 1;
+        assert_eq!(case.refused(9_000), []);
+        case
+    }
+
     fn crash(&mut self, at: Millis, backend: &str, requests: &[(&str, &[RequestAttribute])]) {
         let interrupted = requests.iter().map(|(tenant, attributes)| {
             self.requests += 1;
@@ -44,7 +75,7 @@
             crashes: vec![AttributeCrashReport {
                 node: "n1".into(),
                 backend: backend.into(),
-                group: group("v1"),
+                group: group(&self.version),
                 age_ms: 0,
                 requests: interrupted.collect(),
             }],
@@ -273,6 +304,30 @@
     assert_eq!(case.refused(1_300), [(GUILTY, only("t1"))]);
 }
 
+/// Guards against a refusal for a version at which the attribute crashed nothing.
+#[rstest]
+#[case::the_same_version("v1", 1)]
+#[case::another_version("v2", 0)]
+fn one_crash_on_probation_counts_at_the_version_of_the_verdict(
+    #[case] version: &str,
+    #[case] expected: usize,
+) {
+    let mut case = Case::on_probation();
+    case.version = version.to_owned();
+    case.crash(10_000, "e9", &[("t1", &[GUILTY])]);
+    assert_eq!(case.refused(10_300).len(), expected);
+}
+
+/// Guards against an answer that says nothing of a crash after it.
+#[test]
+fn an_answer_before_a_crash_on_probation_does_not_end_it() {
+    let mut case = Case::on_probation();
+    case.answer(9_500, &[GUILTY]);
+    case.crash(10_000, "e9", &[("t1", &[GUILTY])]);
+    assert_eq!(case.evidence.successes(BTreeSet::new()), BTreeSet::new());
+    assert_eq!(case.refused(10_300), [(GUILTY, only("t1"))]);
+}
+
 #[test]
 fn a_node_reports_the_newest_answers_of_watched_attributes() {
     let mut reporter = AttributeReporter::default();
