A caller could take the tenant, target or deadline from its requests

Cause: the headers that Connection names were removed where a request is built, after the node had set its own; on the way back an answer's were removed after its head had been read. So an outsider's word was carried out on the node's own.

Requests ran without Tenant, Expect-Instance (at a reused address at a back end of another service), Deadline-Ms, Request-Priority, Inputs, Attempt-Id (the answer was lost, 502), Model, Token-Count, Prefix-Hash, Segment-*, Length-Hint, Host; behind a peer without their key (503) and without the mark of a forwarded request; answers reached callers without a signature.

Change: EndToEndHeaders is made from a message on arrival and is all that codecs read and build from. Headers that the protocol gives to all recipients can't be named away, as a sender must not name those (RFC 9110, 7.6.1); all others that are named are removed. A line with bytes that are not text counts for its other items. A decision log line and a counter tell who does it.

--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -3,11 +3,13 @@
 use crate::event::{Event, EventSender};
 use crate::gateway::event::{Decision, GatewayEvent};
 use crate::gateway::forwarding::earlier_attempts;
+use crate::gateway::received_request::{ReceivedRequest, RequestHead};
 use crate::gateway::request_sender::{RequestSender, StreamCallbacks};
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::http::request::Parts;
 use hyper::Response;
+use silversail_decisions::Event as DecisionEvent;
 use silversail_http::{
     AsyncService, IncomingRequest, OutgoingBody, RejectReason, RelayOutcome, ServedResponse,
     ServiceFuture, ServiceLimits,
@@ -15,6 +17,7 @@
 use silversail_model::traffic::CallerLimits;
 use silversail_model::{ContentDigest, ResultCode};
 use silversail_serving::dispatcher::{Refusal, RequestNumber, SendOutcome};
+use silversail_serving::end_to_end::EndToEndHeaders;
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -76,6 +79,10 @@
 impl AsyncService for CallerService {
     fn call(&self, request: IncomingRequest) -> ServiceFuture {
         let service = self.clone();
+        let request = ReceivedRequest {
+            head: self.read_head(request.parts),
+            body: request.body,
+        };
         Box::pin(async move { service.serve(request).await })
     }
 
@@ -91,8 +98,9 @@
         let refusals = &self.request_sender.notice_recorder.metrics.refusals;
         refusals.with_label_values(&[code.reason()]).inc();
         let retry_after = (code == ResultCode::TooManyRequests).then_some(BODY_MEMORY_RETRY_AFTER);
+        let head = self.read_head(head);
         let protocol = &self.request_sender.protocols.requests;
-        let call = protocol.read_request(&head.uri, &head.headers);
+        let call = protocol.read_request(&head.target, &head.headers);
         let id = call.map(|call| call.id).unwrap_or_default();
         Ok(self.local_response(&id, code, retry_after))
     }
@@ -111,18 +119,30 @@
 }
 
 impl CallerService {
-    async fn serve(self, request: IncomingRequest) -> ServedResponse {
+    fn read_head(&self, parts: Parts) -> RequestHead {
+        RequestHead {
+            method: parts.method,
+            target: parts.uri,
+            headers: self
+                .request_sender
+                .exchanges
+                .end_to_end_headers(parts.headers),
+        }
+    }
+
+    async fn serve(self, request: ReceivedRequest) -> ServedResponse {
         let protocol = &self.request_sender.protocols.requests;
-        let parts = &request.parts;
-        let mut call = match protocol.read_request(&parts.uri, &parts.headers) {
+        let head = &request.head;
+        let mut call = match protocol.read_request(&head.target, &head.headers) {
             Ok(call) => call,
             Err(error) => return Ok(self.local_response("", error.code(), None)),
         };
-        let target = parts.uri.path_and_query();
+        let target = head.target.path_and_query();
         let target = target.map_or("", |target| target.as_str());
         call.content = ContentDigest::of(target, &request.body);
-        call.forwarded = earlier_attempts(&parts.headers);
+        call.forwarded = earlier_attempts(&head.headers);
         let id = call.id.clone();
+        self.record_disregarded_options(&id, &head.headers);
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let (sender, mut decisions) = mpsc::unbounded_channel();
         let mut guard = DisconnectGuard {
@@ -167,6 +187,28 @@
         }
     }
 
+    /// Records which headers of the protocol the caller named in `Connection`.
+    fn record_disregarded_options(&self, id: &str, headers: &EndToEndHeaders) {
+        let options = headers.disregarded_options();
+        if options.is_empty() {
+            return;
+        }
+        let exchanges = &self.request_sender.exchanges;
+        let counter = &exchanges
+            .notice_recorder
+            .metrics
+            .disregarded_connection_options;
+        for option in options {
+            counter.with_label_values(&[option.as_str()]).inc();
+        }
+        exchanges
+            .log
+            .record(DecisionEvent::ConnectionOptionsDisregarded {
+                request: id.to_owned(),
+                headers: options.iter().map(ToString::to_string).collect(),
+            });
+    }
+
     fn report_send_end(
         &self,
         number: RequestNumber,
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,6 +1,7 @@
 //! One exchange over a connection to a back end or a peer. The only place that decides whose an
 //! answer is; all who send requests or calls get their own answer, or none.
 
+use crate::gateway::forwarding::FORWARDED;
 use crate::gateway::notices::NoticeRecorder;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -10,6 +11,7 @@
 use silversail_decisions::{DecisionLog, Event};
 use silversail_http::{CarriedKey, Connection, SendError};
 use silversail_serving::answer_identity::{ConnectionUse, EchoedId, ForeignAnswer, UncheckedHead};
+use silversail_serving::end_to_end::EndToEndHeaders;
 use silversail_serving::notices::ExchangeKind;
 use silversail_serving::ports::{AnswerHead, Protocols};
 
@@ -62,8 +64,10 @@
 pub struct OwnAnswer {
     /// Connection on which it arrives. May be returned to its pool once the body is complete.
     pub connection: Connection,
-    /// Head and body.
+    /// Head as it came over the connection, which tells where the body ends, and body.
     pub response: Response<Incoming>,
+    /// Headers without those of the connection.
+    pub headers: EndToEndHeaders,
     /// Parsed head.
     pub head: AnswerHead,
 }
@@ -118,7 +122,8 @@
     ) -> Result<OwnAnswer, ExchangeError> {
         let response = connection.send(request, exchange.id).await?;
         connection.apply_keep_alive(response.headers());
-        let unchecked = self.read_head(exchange, response.status().as_u16(), response.headers());
+        let headers = self.end_to_end_headers(response.headers().clone());
+        let unchecked = self.read_head(exchange, response.status().as_u16(), &headers);
         let identified = unchecked.identify(ConnectionUse {
             has_carried: connection.earlier_requests() > 0,
             has_carried_id: connection.has_carried(CarriedKey::of(exchange.id)),
@@ -137,10 +142,19 @@
         Ok(OwnAnswer {
             connection,
             response,
+            headers,
             head,
         })
     }
 
+    /// Removes the headers of the connection from those of a message that was received.
+    pub fn end_to_end_headers(&self, received: HeaderMap) -> EndToEndHeaders {
+        let protocol = &self.protocols.requests;
+        EndToEndHeaders::new(received, |name| {
+            name == FORWARDED || protocol.is_for_all_recipients(name)
+        })
+    }
+
     /// Records what another request's answer reports about its back end. The connection does not
     /// outlive the back end's process.
     fn record_report(&self, exchange: &Exchange<'_>, foreign: &ForeignAnswer) {
@@ -154,7 +168,7 @@
         &self,
         exchange: &Exchange<'_>,
         status: u16,
-        headers: &HeaderMap,
+        headers: &EndToEndHeaders,
     ) -> UncheckedHead {
         let protocol = &self.protocols.requests;
         match exchange.role {
--- a/crates/daemon/src/gateway/forwarding.rs
+++ b/crates/daemon/src/gateway/forwarding.rs
@@ -6,16 +6,17 @@
 use crate::clock;
 use crate::gateway::calls::CONNECT_TIMEOUT;
 use crate::gateway::exchange::{Exchange, ExchangeError, ExchangeRole, OwnAnswer};
+use crate::gateway::received_request::ReceivedRequest;
 use crate::gateway::request_sender::{
     is_long, until_deadline, with_headers, FailedSend, ReceivedAnswer, RequestSender, SendResult,
     StreamCallbacks, NOT_RUN_STATUSES,
 };
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::Request;
-use silversail_http::IncomingRequest;
 use silversail_serving::dispatcher::{NotRunReason, SendOutcome, UnknownReason};
+use silversail_serving::end_to_end::EndToEndHeaders;
 use silversail_serving::forwarding::ForwardPlan;
 
 /// Marks a request that another node forwarded; its value is the number of attempts that may have
@@ -24,8 +25,8 @@
 
 /// Number of earlier attempts that a forwarded request carries; `None` if it was not forwarded. A
 /// malformed number counts as 1.
-pub fn earlier_attempts(headers: &HeaderMap) -> Option<u32> {
-    let value = headers.get(FORWARDED)?;
+pub fn earlier_attempts(headers: &EndToEndHeaders) -> Option<u32> {
+    let value = headers.as_map().get(FORWARDED)?;
     let attempts = value.to_str().ok().and_then(|value| value.parse().ok());
     Some(attempts.unwrap_or(1))
 }
@@ -38,7 +39,7 @@
     /// are used for streamed answers only.
     pub async fn forward(
         &self,
-        request: &IncomingRequest,
+        request: &ReceivedRequest,
         id: &str,
         plan: &ForwardPlan,
         callbacks: StreamCallbacks,
@@ -72,7 +73,7 @@
     /// Connects to the peer, sends the request and waits for the head of the answer.
     async fn forward_until_head(
         &self,
-        request: &IncomingRequest,
+        request: &ReceivedRequest,
         id: &str,
         plan: &ForwardPlan,
     ) -> Result<OwnAnswer, FailedSend> {
@@ -98,12 +99,12 @@
 
     fn forwarded_request(
         &self,
-        request: &IncomingRequest,
+        request: &ReceivedRequest,
         plan: &ForwardPlan,
     ) -> Request<Full<Bytes>> {
         let remaining_ms = self.time_left(plan.end).as_millis() as u64;
         let protocol = &self.protocols.requests;
-        let mut headers = protocol.forward_headers(&request.parts.headers, remaining_ms);
+        let mut headers = protocol.forward_headers(&request.head.headers, remaining_ms);
         headers.insert(FORWARDED, HeaderValue::from(plan.earlier_attempts));
         with_headers(request, headers)
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod owners;
 mod placement;
 mod reachability;
+pub mod received_request;
 pub mod request_sender;
 mod result_freeing;
 mod rollouts;
--- a/crates/daemon/src/gateway/request_sender.rs
+++ b/crates/daemon/src/gateway/request_sender.rs
@@ -5,17 +5,13 @@
 use crate::gateway::exchange::{Exchange, ExchangeClient, ExchangeError, ExchangeRole, OwnAnswer};
 use crate::gateway::forwarding::FORWARDED;
 use crate::gateway::notices::NoticeRecorder;
+use crate::gateway::received_request::ReceivedRequest;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Either, Full, Limited};
-use hyper::header::{
-    HeaderMap, HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, TE, TRAILER, TRANSFER_ENCODING,
-    UPGRADE,
-};
+use hyper::header::{HeaderMap, CONTENT_LENGTH};
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
-use silversail_http::{
-    AnswerBody, ConnectionPool, IncomingRequest, OutgoingBody, RelayBody, RelayOutcome,
-};
+use silversail_http::{AnswerBody, ConnectionPool, OutgoingBody, RelayBody, RelayOutcome};
 use silversail_limits::Serial;
 use silversail_model::AnswerEnd;
 use silversail_serving::dispatcher::{NotRunReason, SendOutcome, SendPlan, UnknownReason};
@@ -32,8 +28,6 @@
 /// Maximum wait for the body of a refusal, which must be read before the connection can be
 /// reused.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 /// Statuses by which a back end guarantees that it did not run the request.
 pub(super) const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -107,7 +101,7 @@
     /// are used for streamed answers only.
     pub async fn send(
         &self,
-        request: &IncomingRequest,
+        request: &ReceivedRequest,
         id: &str,
         plan: &SendPlan,
         callbacks: StreamCallbacks,
@@ -119,7 +113,7 @@
 
     async fn try_send(
         &self,
-        request: &IncomingRequest,
+        request: &ReceivedRequest,
         id: &str,
         plan: &SendPlan,
         callbacks: StreamCallbacks,
@@ -159,7 +153,7 @@
     /// of the permit used.
     async fn send_until_head(
         &self,
-        request: &IncomingRequest,
+        request: &ReceivedRequest,
         id: &str,
         plan: &SendPlan,
     ) -> Result<(OwnAnswer, Option<Serial>), FailedSend> {
@@ -207,28 +201,23 @@
         deadline.saturating_duration_since(clock::now())
     }
 
-    fn build_request(&self, request: &IncomingRequest, plan: &SendPlan) -> Request<Full<Bytes>> {
+    fn build_request(&self, request: &ReceivedRequest, plan: &SendPlan) -> Request<Full<Bytes>> {
         let mut attributes = plan.attributes.clone();
         attributes.remaining_ms = self.time_left(plan.end).as_millis() as u64;
         let mut headers = self
             .protocols
             .requests
-            .engine_headers(&request.parts.headers, &attributes);
+            .engine_headers(&request.head.headers, &attributes);
         headers.remove(FORWARDED);
         with_headers(request, headers)
     }
 }
 
 /// Builds the request of a caller with other headers.
-pub(super) fn with_headers(
-    request: &IncomingRequest,
-    mut headers: HeaderMap,
-) -> Request<Full<Bytes>> {
-    strip_connection_headers(&mut headers);
-    headers.remove(EXPECT);
-    let target = request.parts.uri.path_and_query();
+pub(super) fn with_headers(request: &ReceivedRequest, headers: HeaderMap) -> Request<Full<Bytes>> {
+    let target = request.head.target.path_and_query();
     let mut outgoing = Request::builder()
-        .method(request.parts.method.clone())
+        .method(request.head.method.clone())
         .uri(target.map_or("/", |target| target.as_str()))
         .body(Full::new(request.body.clone()))
         .expect("method and target came in a request that was read");
@@ -291,32 +280,6 @@
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-/// Removes hop-by-hop headers.
-fn strip_connection_headers(headers: &mut HeaderMap) {
-    let connection_headers: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in connection_headers {
-        headers.remove(name);
-    }
-    for name in [
-        CONNECTION,
-        KEEP_ALIVE,
-        PROXY_CONNECTION,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-        CONTENT_LENGTH,
-    ] {
-        headers.remove(name);
-    }
-}
-
 /// An answer whose head has been read.
 pub(super) struct ReceivedAnswer {
     parts: Parts,
@@ -329,7 +292,7 @@
     pub(super) fn new(own: OwnAnswer) -> Result<Self, FailedSend> {
         let (mut parts, body) = AnswerBody::new(own.response, own.connection)
             .map_err(|_| FailedSend::from(SendOutcome::Unknown(UnknownReason::Garbled)))?;
-        strip_connection_headers(&mut parts.headers);
+        parts.headers = own.headers.into_map();
         let load = own.head.report.load;
         Ok(Self { parts, body, load })
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -66,6 +66,8 @@
     pub quarantine_verdicts: IntCounter,
     /// Internal headers that were stripped from callers' requests, by name.
     pub stripped_headers: IntCounterVec,
+    /// Headers of the protocol that callers named in `Connection`, by name.
+    pub disregarded_connection_options: IntCounterVec,
     /// Reads of the backend list, by outcome.
     pub list_reads: IntCounterVec,
     /// Malformed entries of the backend list at each read, by reason.
@@ -244,6 +246,11 @@
                 "Headers of the system's own that callers sent and that were withheld",
                 &["name"],
             ),
+            disregarded_connection_options: counter(
+                "silversail_disregarded_connection_options_total",
+                "Headers of the protocol that callers named in Connection",
+                &["name"],
+            ),
             gateway_sends: counter(
                 "silversail_gateway_sends_total",
                 "Sends of pass-through requests",
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -49,6 +49,13 @@
         #[serde(default)]
         is_forwarded: bool,
     },
+    /// A caller named headers of the protocol in `Connection`, which was disregarded.
+    ConnectionOptionsDisregarded {
+        /// Request identifier sent by the caller.
+        request: String,
+        /// Names of the headers.
+        headers: Vec<String>,
+    },
     /// A request was rejected or abandoned.
     Refused {
         /// Request identifier sent by the caller.
--- a/crates/decisions/src/event_class.rs
+++ b/crates/decisions/src/event_class.rs
@@ -30,6 +30,7 @@
             }
             Event::Refused { .. }
             | Event::AttributeRefused { .. }
+            | Event::ConnectionOptionsDisregarded { .. }
             | Event::WaitsForRest { .. }
             | Event::PhaseDone { .. }
             | Event::SendFailed { .. }
@@ -46,6 +47,7 @@
         match self {
             Event::Admitted { request, .. }
             | Event::Refused { request, .. }
+            | Event::ConnectionOptionsDisregarded { request, .. }
             | Event::AttributeRefused { request, .. }
             | Event::PhaseSubmitted { request, .. }
             | Event::PhaseDone { request, .. }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -2,6 +2,7 @@
 //! admission. It uses no sockets, clocks or threads; the caller passes the time in milliseconds.
 //!
 //! - [`ports`]: traits and types between the core and the external protocols
+//! - [`end_to_end`]: headers of a message without those of its connection
 //! - [`routes`]: route and tenant of a request
 //! - [`instances`]: the known back ends and their estimated state
 //! - [`notices`]: state that back ends advertise in their answers
@@ -22,6 +23,7 @@
 pub mod cold;
 pub mod crashes;
 pub mod dispatcher;
+pub mod end_to_end;
 pub mod forwarding;
 pub mod instances;
 pub mod notices;
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -2,6 +2,8 @@
 //! names, paths and encodings are known only there.
 
 use crate::answer_identity::UncheckedHead;
+use crate::end_to_end::EndToEndHeaders;
+use http::header::HeaderName;
 use http::{HeaderMap, Method, Uri};
 use silversail_model::{AdvertisedRateLimit, ContentDigest, ResultCode, TrafficConfiguration};
 pub use silversail_peer::{BackendListEntry, StreamOrigin};
@@ -222,26 +224,34 @@
 
 /// Codec for callers' requests and engines' answers.
 pub trait RequestProtocol: Send + Sync {
+    /// Whether the protocol gives a header to all recipients of a request or an answer, so that its
+    /// sender may not name it in `Connection`.
+    fn is_for_all_recipients(&self, name: &HeaderName) -> bool;
+
     /// Parses the attributes that routing uses.
     ///
     /// # Errors
     ///
     /// If the identifier is missing or a header that routing uses is malformed.
-    fn read_request(&self, uri: &Uri, headers: &HeaderMap) -> Result<CallAttributes, RequestError>;
+    fn read_request(
+        &self,
+        uri: &Uri,
+        headers: &EndToEndHeaders,
+    ) -> Result<CallAttributes, RequestError>;
 
     /// Builds the headers of the request to an engine from those of the caller.
-    fn engine_headers(&self, caller: &HeaderMap, send: &SendAttributes) -> HeaderMap;
+    fn engine_headers(&self, caller: &EndToEndHeaders, send: &SendAttributes) -> HeaderMap;
 
     /// Builds the headers of the request to a peer node from those of the caller: all of them, with
     /// the remaining time in milliseconds.
-    fn forward_headers(&self, caller: &HeaderMap, remaining_ms: u64) -> HeaderMap;
+    fn forward_headers(&self, caller: &EndToEndHeaders, remaining_ms: u64) -> HeaderMap;
 
     /// Parses the head of an answer that was read for the request `id`.
-    fn read_answer(&self, status: u16, headers: &HeaderMap, id: &str) -> UncheckedHead;
+    fn read_answer(&self, status: u16, headers: &EndToEndHeaders, id: &str) -> UncheckedHead;
 
     /// Parses the head of an answer that was read for the call `id` of this node; empty if the call
     /// carries no identifier.
-    fn read_call_answer(&self, status: u16, headers: &HeaderMap, id: &str) -> UncheckedHead;
+    fn read_call_answer(&self, status: u16, headers: &EndToEndHeaders, id: &str) -> UncheckedHead;
 
     /// Builds the headers of an answer that this node generates itself.
     fn own_answer_headers(&self, id: &str, retry_after: Option<Duration>) -> HeaderMap;
