A planned stop cut answers that slow callers were reading

Cause: a stop took a request for ended once its whole answer had been handed to the HTTP server, and left 0.4 s for writing. The same on the pipelines' server, whose answers go through a channel without a bound.

Change: both servers count their callers' connections.

Why it holds: a connection is closed by the server only after what was handed to it has been written; until then it counts.

--- a/crates/daemon/src/gateway/runtime.rs
+++ b/crates/daemon/src/gateway/runtime.rs
@@ -8,7 +8,7 @@
 use crate::gateway::request_sender::RequestSender;
 use crate::gateway::surface::SurfaceService;
 use crate::settings::GatewaySettings;
-use silversail_http::{serve, AsyncService, BodyMemoryLimit, ConnectionPool};
+use silversail_http::{serve, AsyncService, BodyMemoryLimit, ConnectionPool, OpenConnections};
 use silversail_serving::ports::Protocols;
 use std::io;
 use std::sync::atomic::AtomicU64;
@@ -22,6 +22,7 @@
     calls: RuntimeCalls,
     stopping: watch::Sender<bool>,
     closing: watch::Sender<bool>,
+    caller_connections: OpenConnections,
 }
 
 impl GatewayRuntime {
@@ -71,10 +72,10 @@
         };
         let surface: Arc<dyn AsyncService> = Arc::new(surface);
         let held_bodies = BodyMemoryLimit::new(settings.held_body_bytes);
-        {
+        let caller_connections = {
             let _guard = runtime.enter();
             let callers = Arc::new(callers);
-            serve(
+            let caller_connections = serve(
                 &settings.callers,
                 callers,
                 held_bodies,
@@ -95,13 +96,15 @@
                     closing_receiver.clone(),
                 )?;
             }
-        }
+            caller_connections
+        };
         runtime.spawn(calls.clone().run_list_reader(settings.clone()));
         Ok(Self {
             runtime: Some(runtime),
             calls,
             stopping,
             closing,
+            caller_connections,
         })
     }
 
@@ -115,7 +118,12 @@
         self.stopping.send_replace(true);
     }
 
-    /// Stops accepting connections and closes idle ones.
+    /// Number of callers' connections that are open.
+    pub fn open_caller_connections(&self) -> usize {
+        self.caller_connections.count()
+    }
+
+    /// Stops accepting connections and closes idle ones. Answers in progress are completed.
     pub fn close(&self) {
         self.closing.send_replace(true);
     }
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown: leaves the cluster view, waits until the last entry-point answers that name
-//! this node have expired, refuses new requests, drains the open ones, transfers leadership, and
-//! exits.
+//! this node have expired, refuses new requests, drains the open ones, transfers leadership, waits
+//! until callers have read their answers, and exits.
 
 use crate::gateway::runtime::GatewayRuntime;
 use crate::metrics::Metrics;
@@ -79,6 +79,8 @@
     AnswersEnding(Instant),
     /// Until no request is open, at most until the given time.
     Draining(Instant),
+    /// Until all callers have read their answers, at most until the given time.
+    ClosingConnections(Instant),
     /// Until the last messages have been sent.
     Flushing(Instant),
 }
@@ -124,6 +126,9 @@
                 for transfer in &self.setup.leadership_transfers {
                     fwd!([transfer], ());
                 }
+                Some(Step::ClosingConnections(until))
+            }
+            Step::ClosingConnections(until) if now >= until || !self.has_caller_connections() => {
                 Some(Step::Flushing(now + FLUSH_DURATION))
             }
             Step::Flushing(until) if now >= until => {
@@ -154,6 +159,14 @@
         metrics.open_requests.get() == 0 && metrics.gateway_requests.get() == 0
     }
 
+    /// Whether callers' connections are open. Idle ones have been closed, so that the others carry
+    /// answers that slow callers are reading.
+    fn has_caller_connections(&self) -> bool {
+        let gateway = self.setup.gateway.as_ref();
+        let gateway_connections = gateway.map_or(0, |gateway| gateway.open_caller_connections());
+        gateway_connections + self.setup.server.open_connections() > 0
+    }
+
     /// Time until which requests are accepted from callers that hold an entry-point answer.
     fn accepts_requests_until(&self, now: Instant) -> Instant {
         match self.setup.stop_grace {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod event_stream;
 pub mod framing;
 pub mod keepalive;
+pub mod open_connections;
 pub mod relay;
 pub mod request;
 pub mod responder;
@@ -26,6 +27,7 @@
 pub use config::HttpServerConfig;
 pub use event_stream::EventStreamScanner;
 pub use framing::AmbiguousFraming;
+pub use open_connections::OpenConnections;
 pub use relay::{RelayBody, RelayOutcome};
 pub use request::Request;
 pub use responder::{Responder, ResponseHead, ResponsePart, ResponseReader};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,6 +3,7 @@
 use crate::body::{ChannelBody, DisconnectGuard};
 use crate::caller_connection::{self, EndsWithConnection};
 use crate::config::HttpServerConfig;
+use crate::open_connections::OpenConnections;
 use crate::request::Request;
 use crate::responder::{Responder, ResponseHead, ResponsePart};
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
@@ -51,6 +52,7 @@
 pub struct HttpServer {
     address: SocketAddr,
     stopping: watch::Sender<bool>,
+    open_connections: OpenConnections,
     runtime: Option<tokio::runtime::Runtime>,
 }
 
@@ -69,10 +71,18 @@
         let listener = runtime.block_on(TcpListener::bind(&config.address))?;
         let address = listener.local_addr()?;
         let (stopping, is_stopping) = watch::channel(false);
-        runtime.spawn(accept(listener, config, handler, is_stopping));
+        let open_connections = OpenConnections::default();
+        runtime.spawn(accept(
+            listener,
+            config,
+            handler,
+            open_connections.clone(),
+            is_stopping,
+        ));
         Ok(Self {
             address,
             stopping,
+            open_connections,
             runtime: Some(runtime),
         })
     }
@@ -82,6 +92,11 @@
         self.address
     }
 
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.count()
+    }
+
     /// Accepts no further connections and closes idle ones. Responses in progress are completed.
     pub fn stop_accepting(&self) {
         let _ = self.stopping.send(true);
@@ -100,6 +115,7 @@
     listener: TcpListener,
     config: HttpServerConfig,
     handler: Arc<dyn Handler>,
+    open_connections: OpenConnections,
     mut is_stopping: watch::Receiver<bool>,
 ) {
     let slots = Arc::new(Semaphore::new(config.max_connections));
@@ -123,9 +139,10 @@
             continue;
         };
         let connection = serve(stream, handler.clone(), config.clone(), is_stopping.clone());
+        let open_connection = open_connections.add();
         tokio::spawn(async move {
             connection.await;
-            drop(slot);
+            drop((slot, open_connection));
         });
     }
 }
--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -3,6 +3,7 @@
 use crate::body_memory::BodyMemoryLimit;
 use crate::caller_connection::{self, EndsWithConnection};
 use crate::keepalive;
+use crate::open_connections::OpenConnections;
 use crate::relay::RelayBody;
 use crate::server::RejectReason;
 use bytes::Bytes;
@@ -75,7 +76,8 @@
 
 /// Binds `address` and serves it on the current runtime until `is_stopping` is true. Then idle
 /// connections are closed and answers in progress are completed. The body of a request counts
-/// towards `body_memory` until the head of its answer is available.
+/// towards `body_memory` until the head of its answer is available. Returns the number of the open
+/// connections.
 ///
 /// # Errors
 ///
@@ -85,7 +87,7 @@
     service: Arc<dyn AsyncService>,
     body_memory: BodyMemoryLimit,
     is_stopping: watch::Receiver<bool>,
-) -> io::Result<()> {
+) -> io::Result<OpenConnections> {
     let address = address.parse().map_err(io::Error::other)?;
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
@@ -95,14 +97,22 @@
     }
     socket.bind(address)?;
     let listener = socket.listen(BACKLOG)?;
-    tokio::spawn(accept(listener, service, body_memory, is_stopping));
-    Ok(())
+    let open_connections = OpenConnections::default();
+    tokio::spawn(accept(
+        listener,
+        service,
+        body_memory,
+        open_connections.clone(),
+        is_stopping,
+    ));
+    Ok(open_connections)
 }
 
 async fn accept(
     listener: TcpListener,
     service: Arc<dyn AsyncService>,
     body_memory: BodyMemoryLimit,
+    open_connections: OpenConnections,
     mut is_stopping: watch::Receiver<bool>,
 ) {
     loop {
@@ -113,12 +123,13 @@
         match accepted {
             Ok((stream, _)) => {
                 let (service, body_memory) = (service.clone(), body_memory.clone());
-                tokio::spawn(serve_connection(
-                    stream,
-                    service,
-                    body_memory,
-                    is_stopping.clone(),
-                ));
+                let connection =
+                    serve_connection(stream, service, body_memory, is_stopping.clone());
+                let open_connection = open_connections.add();
+                tokio::spawn(async move {
+                    connection.await;
+                    drop(open_connection);
+                });
             }
             Err(error) => {
                 // Most likely out of file descriptors: wait for connections to close.
