Answers held for callers that read slowly took processes over their memory

Cause: an answer of up to 1 MiB is collected whole and handed to the HTTP server, which holds it until its caller has read it; nothing bounded how many. Only bodies of requests had a bound.

Change: answers that are held count against gateway.held_answer_bytes (16 MiB) until the last byte has been written; what does not fit is relayed as its caller reads it. Up to 32 KiB are held in any case, as a relay takes as much.

Why it holds: the reservation is part of the bytes that the server holds, so that it ends with them; a relay's buffers are bounded for each connection, and back ends bound the number of relays.

--- a/crates/daemon/src/gateway/forwarding.rs
+++ b/crates/daemon/src/gateway/forwarding.rs
@@ -8,7 +8,7 @@
 use crate::gateway::exchange::{Exchange, ExchangeError, ExchangeRole, OwnAnswer};
 use crate::gateway::received_request::ReceivedRequest;
 use crate::gateway::request_sender::{
-    is_long, until_deadline, with_headers, FailedSend, ReceivedAnswer, RequestSender, SendResult,
+    until_deadline, with_headers, FailedSend, ReceivedAnswer, RequestSender, SendResult,
     StreamCallbacks, NOT_RUN_STATUSES,
 };
 use bytes::Bytes;
@@ -60,12 +60,9 @@
                 own.reuse_after_refusal().await;
                 return Err(SendOutcome::NotRun(NotRunReason::Refused).into());
             }
-            let is_streamed = plan.is_stream || is_long(own.response.headers());
             let answer = ReceivedAnswer::new(own)?;
-            match is_streamed {
-                true => Ok(answer.stream(callbacks, deadline)),
-                false => answer.buffer().await,
-            }
+            self.pass_on(answer, plan.is_stream, callbacks, deadline)
+                .await
         };
         until_deadline(forwarding, deadline).await
     }
--- a/crates/daemon/src/gateway/request_sender.rs
+++ b/crates/daemon/src/gateway/request_sender.rs
@@ -8,10 +8,13 @@
 use crate::gateway::received_request::ReceivedRequest;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Either, Full, Limited};
-use hyper::header::{HeaderMap, CONTENT_LENGTH};
+use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
-use silversail_http::{AnswerBody, ConnectionPool, OutgoingBody, RelayBody, RelayOutcome};
+use silversail_http::{
+    AnswerBody, BodyMemoryLimit, ConnectionPool, OutgoingBody, RelayBody, RelayOutcome,
+    ReservedMemory,
+};
 use silversail_limits::Serial;
 use silversail_model::AnswerEnd;
 use silversail_serving::dispatcher::{NotRunReason, SendOutcome, SendPlan, UnknownReason};
@@ -25,6 +28,9 @@
 /// Maximum size of answers that are buffered before they are forwarded, in bytes. Longer ones are
 /// streamed.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 1 << 20;
+/// Answers up to this size are buffered without a reservation of memory, in bytes: to relay one takes
+/// as much.
+const MAX_UNRESERVED_ANSWER_BYTES: usize = 32 << 10;
 /// Maximum wait for the body of a refusal, which must be read before the connection can be
 /// reused.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
@@ -86,6 +92,8 @@
     pub notice_recorder: NoticeRecorder,
     /// Makes the exchanges.
     pub exchanges: ExchangeClient,
+    /// Limits the buffered answers.
+    pub answer_memory: BodyMemoryLimit,
 }
 
 /// Callbacks for the progress of a streamed answer.
@@ -141,11 +149,27 @@
             own.reuse_after_refusal().await;
             return Err(FailedSend { outcome, load });
         }
-        let is_streamed = plan.is_stream || is_long(own.response.headers());
         let answer = ReceivedAnswer::new(own)?;
-        match is_streamed {
-            true => Ok(answer.stream(callbacks, deadline)),
-            false => answer.buffer().await,
+        self.pass_on(answer, plan.is_stream, callbacks, deadline)
+            .await
+    }
+
+    /// Passes an answer on, once it is complete or as it arrives: a stream, a long answer, and one for
+    /// which there is no memory while callers are reading others.
+    pub(super) async fn pass_on(
+        &self,
+        answer: ReceivedAnswer,
+        is_stream: bool,
+        callbacks: StreamCallbacks,
+        deadline: Instant,
+    ) -> Result<SendResult, FailedSend> {
+        let buffering = match is_stream {
+            true => None,
+            false => Buffering::of(answer.max_body_bytes(), &self.answer_memory),
+        };
+        match buffering {
+            Some(buffering) => answer.buffer(buffering).await,
+            None => Ok(answer.stream(callbacks, deadline)),
         }
     }
 
@@ -271,13 +295,35 @@
     }
 }
 
-/// Whether an answer is too long to be buffered.
-pub(super) fn is_long(headers: &HeaderMap) -> bool {
-    content_length(headers).is_some_and(|length| length > MAX_BUFFERED_ANSWER_BYTES)
+/// How an answer is buffered.
+enum Buffering {
+    Unreserved,
+    Reserved(ReservedMemory),
 }
 
-fn content_length(headers: &HeaderMap) -> Option<usize> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+impl Buffering {
+    /// How to buffer an answer of at most `max_bytes`, if that is known; none if it is too long or there
+    /// is no memory.
+    fn of(max_bytes: Option<u64>, memory: &BodyMemoryLimit) -> Option<Self> {
+        let max_bytes = match max_bytes {
+            None => MAX_BUFFERED_ANSWER_BYTES,
+            Some(bytes) => usize::try_from(bytes).ok()?,
+        };
+        match max_bytes {
+            0..=MAX_UNRESERVED_ANSWER_BYTES => Some(Buffering::Unreserved),
+            _ if max_bytes > MAX_BUFFERED_ANSWER_BYTES => None,
+            _ => memory.try_reserve(max_bytes).map(Buffering::Reserved),
+        }
+    }
+
+    fn hold(self, body: Bytes) -> Bytes {
+        match self {
+            Buffering::Reserved(memory) if body.len() > MAX_UNRESERVED_ANSWER_BYTES => {
+                memory.attach_to(body)
+            }
+            Buffering::Reserved(_) | Buffering::Unreserved => body,
+        }
+    }
 }
 
 /// An answer whose head has been read.
@@ -297,8 +343,13 @@
         Ok(Self { parts, body, load })
     }
 
+    /// Size of the body if it is known.
+    fn max_body_bytes(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
     /// Passes the answer on as it arrives.
-    pub(super) fn stream(self, callbacks: StreamCallbacks, deadline: Instant) -> SendResult {
+    fn stream(self, callbacks: StreamCallbacks, deadline: Instant) -> SendResult {
         let status = self.parts.status.as_u16();
         (callbacks.on_head)(self.load);
         let on_end = callbacks.on_end;
@@ -311,7 +362,7 @@
     }
 
     /// Passes the answer on once it is complete.
-    pub(super) async fn buffer(self) -> Result<SendResult, FailedSend> {
+    async fn buffer(self, buffering: Buffering) -> Result<SendResult, FailedSend> {
         let Ok(body) = self.body.collect(MAX_BUFFERED_ANSWER_BYTES).await else {
             return Err(FailedSend {
                 outcome: SendOutcome::Unknown(UnknownReason::Broken),
@@ -319,7 +370,7 @@
             });
         };
         let outcome = whole_answer(self.parts.status.as_u16());
-        let body = Either::Left(Full::new(body));
+        let body = Either::Left(Full::new(buffering.hold(body)));
         Ok(SendResult {
             outcome,
             load: self.load,
--- a/crates/daemon/src/gateway/runtime.rs
+++ b/crates/daemon/src/gateway/runtime.rs
@@ -60,6 +60,7 @@
                 clock: notice_recorder.clock,
                 notice_recorder,
                 exchanges,
+                answer_memory: BodyMemoryLimit::new(settings.held_answer_bytes),
             },
             next_number: Arc::new(AtomicU64::new(1)),
             limits: limits_receiver,
--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -53,6 +53,10 @@
     /// Maximum memory for callers' request bodies, in bytes; requests beyond it are rejected.
     #[serde(default = "default_held_body_bytes")]
     pub held_body_bytes: usize,
+    /// Maximum memory for answers that are buffered until their callers have read them, in bytes;
+    /// answers beyond it are relayed as their callers read them.
+    #[serde(default = "default_held_answer_bytes")]
+    pub held_answer_bytes: usize,
     /// Parameters of routing and batching decisions.
     #[serde(default)]
     pub policy: Policy,
@@ -106,6 +110,10 @@
     32 << 20
 }
 
+fn default_held_answer_bytes() -> usize {
+    16 << 20
+}
+
 fn default_list_rate() -> f64 {
     10.0
 }
--- a/crates/http/src/answer_body.rs
+++ b/crates/http/src/answer_body.rs
@@ -123,7 +123,8 @@
     ///
     /// If the answer is not complete, or too long.
     pub async fn collect(mut self, max_bytes: usize) -> Result<Bytes, CollectError> {
-        let mut collected = BytesMut::new();
+        let expected = self.inner.size_hint().exact().unwrap_or(0);
+        let mut collected = BytesMut::with_capacity(max_bytes.min(expected as usize));
         loop {
             match poll_fn(|context| self.poll_part(context)).await {
                 BodyPart::Frame(frame) => {
--- a/crates/http/src/body_memory.rs
+++ b/crates/http/src/body_memory.rs
@@ -1,5 +1,5 @@
-//! Limit of the memory for request bodies. Without it, callers that send slowly and back ends that
-//! read slowly would make a process buffer any number of bodies.
+//! Limits of the memory for bodies of requests and answers. Without them, callers and back ends that
+//! send or read slowly would make a process buffer any number of bodies.
 
 use crate::server::RejectReason;
 use bytes::{Bytes, BytesMut};
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// Limit of the total size of buffered request bodies; clones share it.
+/// Limit of the total size of buffered bodies; clones share it.
 #[derive(Clone)]
 pub struct BodyMemoryLimit {
     available: Arc<Semaphore>,
@@ -33,6 +33,12 @@
         self.available.available_permits()
     }
 
+    /// Reserves memory for a body; none if there is not enough.
+    pub fn try_reserve(&self, bytes: usize) -> Option<ReservedMemory> {
+        let permit = self.reserve(bytes).ok()?;
+        Some(ReservedMemory { permit })
+    }
+
     /// Reads a body of at most `max_bytes`. Memory is reserved as bytes arrive, so that a caller that
     /// announces a large body and sends little does not block others.
     ///
@@ -75,3 +81,33 @@
             .map_err(|_| RejectReason::BodyMemoryExhausted)
     }
 }
+
+/// Memory that is reserved for a body until this is dropped.
+pub struct ReservedMemory {
+    permit: OwnedSemaphorePermit,
+}
+
+/// Part of a body whose memory is reserved.
+struct ReservedBytes {
+    bytes: Bytes,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl ReservedMemory {
+    /// Returns `body`, whose memory stays reserved until the last reference to it is dropped. Memory
+    /// beyond its length is returned at once.
+    pub fn attach_to(mut self, body: Bytes) -> Bytes {
+        let surplus = self.permit.num_permits().saturating_sub(body.len());
+        drop(self.permit.split(surplus));
+        Bytes::from_owner(ReservedBytes {
+            bytes: body,
+            _permit: self.permit,
+        })
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod service;
 
 pub use answer_body::{AnswerBody, CollectError};
-pub use body_memory::BodyMemoryLimit;
+pub use body_memory::{BodyMemoryLimit, ReservedMemory};
 pub use client::{CarriedKey, Connection, ConnectionPool, EarlierExchange, SendError};
 pub use config::HttpServerConfig;
 pub use event_stream::EventStreamScanner;
