A first start never formed a group after its first voter had started again

Cause: the lowest name forms the group; a process that is not in its first start may form none; all others waited for it.

Change: each next voter in order of names forms the group once every round of probes has found all storages empty for 2 s for each voter before it. No message changed.

Why it holds: a voter that may form the group does so in the first round that finds all empty, 2 s before the next one may.

--- a/crates/daemon/src/replica/joining.rs
+++ b/crates/daemon/src/replica/joining.rs
@@ -84,8 +84,14 @@
         let machine = self.setup.state_machine.clone();
         let initial_data = || machine.borrow().snapshot();
         let mut random_generator = ChaCha8Rng::seed_from_u64(self.setup.seed);
-        let step =
-            formation.handle_reply(from, replica, formed, initial_data, &mut random_generator);
+        let step = formation.handle_reply(
+            from,
+            replica,
+            formed,
+            initial_data,
+            &mut random_generator,
+            now,
+        );
         self.apply_formation_step(step, now);
     }
 
--- a/crates/simulation/tests/formation.rs
+++ b/crates/simulation/tests/formation.rs
@@ -190,3 +190,65 @@
         assert_eq!(leader_count(&world), 1, "seed {seed}");
     }
 }
+
+/// A first start that nobody completes: the node that was to form the group has started again, after
+/// which it may form none.
+#[rstest]
+fn a_group_forms_though_its_first_voters_start_again_before_it_has(
+    #[values(1, 2)] restarted: usize,
+    #[values(100, 500, 900)] killed_after_ms: u64,
+) {
+    for seed in 0..seeds_or(20) {
+        let contacts = [0, 1, 5];
+        let size = size(9, 3, contacts);
+        let mut world = World::new(seed, size);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        start_in_random_order(&mut world, &[], &mut random);
+        world.run_for(killed_after_ms);
+        for position in 0..restarted {
+            world.crash(position);
+            let settings = discovering_settings(position, size, contacts, false);
+            world.nodes[position].parts.settings = Arc::new(settings);
+        }
+        world.run_for(random.gen_range(100..=1_500));
+        for position in 0..restarted {
+            world.start(position);
+        }
+        world.run_for(10_000);
+        assert_converged(&world, &[], seed);
+        let groups = reported_voters(&world);
+        assert_eq!(groups.len(), 3, "seed {seed}");
+        assert!(
+            groups.iter().all(|voters| voters.len() == 3),
+            "seed {seed}: {groups:?}"
+        );
+    }
+}
+
+/// Two nodes that form a group each, as one takes the place of another that was only waiting.
+#[test]
+fn one_group_forms_though_a_voter_starts_late() {
+    for seed in 0..seeds_or(40) {
+        let contacts = [0, 1, 5];
+        let mut world = World::new(seed, size(9, 3, contacts));
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let late = random.gen_range(0..3);
+        start_in_random_order(&mut world, &[late], &mut random);
+        world.run_for(random.gen_range(1_000..=8_000));
+        world.start(late);
+        world.run_for(8_000);
+        assert_converged(&world, &[], seed);
+        let groups = reported_voters(&world);
+        assert_eq!(groups.len(), 3, "seed {seed}");
+        assert!(
+            groups.iter().all(|voters| voters.len() == 3),
+            "seed {seed}: {groups:?}"
+        );
+    }
+}
+
+/// Number of seeds, which `FORMATION_SEEDS` may set.
+fn seeds_or(default: u64) -> u64 {
+    let set = std::env::var("FORMATION_SEEDS").ok();
+    set.and_then(|seeds| seeds.parse().ok()).unwrap_or(default)
+}
