A caller could set its count of earlier attempts so high that it began anew

What callers could do (review, by reading): `silversail-forwarded:` lets the next send wrap the count to 0 in release builds, so that the request may reach one back end more than its route allows; debug builds end.

Cause: the number is taken from the message as it is, and one is added for each send.

Not played with real processes.

Why it holds: sends of one request are far fewer than the room above the bound.

--- a/crates/daemon/src/gateway/forwarding.rs
+++ b/crates/daemon/src/gateway/forwarding.rs
@@ -23,12 +23,16 @@
 /// run before. Never sent to back ends.
 pub const FORWARDED: HeaderName = HeaderName::from_static("silversail-forwarded");
 
+/// Maximum number of earlier attempts that a request can carry, far enough below the end of the type
+/// that sends can be added.
+const MAX_EARLIER_ATTEMPTS: u32 = 1 << 16;
+
 /// Number of earlier attempts that a forwarded request carries; `None` if it was not forwarded. A
-/// malformed number counts as 1.
+/// malformed number counts as 1, one above [`MAX_EARLIER_ATTEMPTS`] as that.
 pub fn earlier_attempts(headers: &EndToEndHeaders) -> Option<u32> {
     let value = headers.as_map().get(FORWARDED)?;
     let attempts = value.to_str().ok().and_then(|value| value.parse().ok());
-    Some(attempts.unwrap_or(1))
+    Some(attempts.unwrap_or(1).min(MAX_EARLIER_ATTEMPTS))
 }
 
 /// Statuses by which a node rejects requests without a route or with an unknown key.
