Two routes whose hosts differ only in case were taken as different

What operators saw (review, by reading): a configuration with two routes of the same host and prefix, written in different case, was acknowledged, though it is invalid; requests reached one of the two.

Cause: the check compared hosts by letter, routing without regard to case.

Change: the check compares as routing does.

--- a/crates/model/src/traffic.rs
+++ b/crates/model/src/traffic.rs
@@ -284,10 +284,12 @@
                 return Err(TrafficError::InvalidColdRate(service.name.clone()));
             }
         }
-        let mut route_matches: BTreeMap<(&str, &str), &str> = BTreeMap::new();
+        let mut route_matches: BTreeMap<(String, &str), &str> = BTreeMap::new();
         for route in &self.routes {
             route.validate(&services)?;
-            let route_match = (route.host.as_str(), route.path_prefix.as_str());
+            // Hosts are matched regardless of case.
+            let host = route.host.to_ascii_lowercase();
+            let route_match = (host, route.path_prefix.as_str());
             if let Some(first) = route_matches.insert(route_match, &route.name) {
                 return Err(TrafficError::DuplicateMatch {
                     first: first.to_owned(),
