A request whose target names its host was served by another host at a peer

Cause: the node decided by the target and sent on the caller's Host with the path alone.

Change: the host of the target replaces Host when the request arrives, as RFC 9112 (3.2.2) says.

Why it holds: routing, back end and peer read one value.

--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -120,13 +120,12 @@
 
 impl CallerService {
     fn read_head(&self, parts: Parts) -> RequestHead {
+        let exchanges = &self.request_sender.exchanges;
+        let headers = exchanges.end_to_end_headers(parts.headers);
         RequestHead {
             method: parts.method,
+            headers: headers.with_host_of(&parts.uri),
             target: parts.uri,
-            headers: self
-                .request_sender
-                .exchanges
-                .end_to_end_headers(parts.headers),
         }
     }
 
--- a/crates/serving/src/end_to_end.rs
+++ b/crates/serving/src/end_to_end.rs
@@ -2,9 +2,10 @@
 //! section 7.6.1).
 
 use http::header::{
-    HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
 };
-use http::HeaderMap;
+use http::{HeaderMap, Uri};
 use std::collections::HashSet;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -54,6 +55,22 @@
         }
     }
 
+    /// Replaces `Host` by the host that the request target names, if it names one: recipients ignore
+    /// `Host` beside such a target (RFC 9112, section 3.2.2), which is not sent on.
+    pub fn with_host_of(mut self, target: &Uri) -> Self {
+        let Some(authority) = target.authority() else {
+            return self;
+        };
+        let host = match authority.as_str().rsplit_once('@') {
+            Some((_, host)) => host,
+            None => authority.as_str(),
+        };
+        if let Ok(host) = HeaderValue::from_str(host) {
+            self.headers.insert(HOST, host);
+        }
+        self
+    }
+
     /// The headers.
     pub fn as_map(&self) -> &HeaderMap {
         &self.headers
