A forwarded request was served under an older configuration than its callers had met

Cause: the peer decides by its own configuration, and only the first node knows what its callers have met.

Change: the first node names the version that it applied 100 ms before or earlier; a peer with an older one answers 421 (2120), not run, and the next peer is tried. A caller's own number counts only beside the mark of a forwarded request.

Why it should hold: nothing is run before the versions are compared.

--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -2,7 +2,7 @@
 
 use crate::event::{Event, EventSender};
 use crate::gateway::event::{Decision, GatewayEvent};
-use crate::gateway::forwarding::earlier_attempts;
+use crate::gateway::forwarding::read_forward;
 use crate::gateway::received_request::{ReceivedRequest, RequestHead};
 use crate::gateway::request_sender::{RequestSender, StreamCallbacks};
 use bytes::Bytes;
@@ -139,7 +139,7 @@
         let target = head.target.path_and_query();
         let target = target.map_or("", |target| target.as_str());
         call.content = ContentDigest::of(target, &request.body);
-        call.forwarded = earlier_attempts(&head.headers);
+        call.forwarded = read_forward(&head.headers);
         let id = call.id.clone();
         self.record_disregarded_options(&id, &head.headers);
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,7 +1,7 @@
 //! One exchange over a connection to a back end or a peer. The only place that decides whose an
 //! answer is; all who send requests or calls get their own answer, or none.
 
-use crate::gateway::forwarding::FORWARDED;
+use crate::gateway::forwarding::is_forwarding_header;
 use crate::gateway::notices::NoticeRecorder;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -151,7 +151,7 @@
     pub fn end_to_end_headers(&self, received: HeaderMap) -> EndToEndHeaders {
         let protocol = &self.protocols.requests;
         EndToEndHeaders::new(received, |name| {
-            name == FORWARDED || protocol.is_for_all_recipients(name)
+            is_forwarding_header(name) || protocol.is_for_all_recipients(name)
         })
     }
 
--- a/crates/daemon/src/gateway/forwarding.rs
+++ b/crates/daemon/src/gateway/forwarding.rs
@@ -17,26 +17,44 @@
 use hyper::Request;
 use silversail_serving::dispatcher::{NotRunReason, SendOutcome, UnknownReason};
 use silversail_serving::end_to_end::EndToEndHeaders;
-use silversail_serving::forwarding::ForwardPlan;
+use silversail_serving::forwarding::{ForwardPlan, ReceivedForward};
 
 /// Marks a request that another node forwarded; its value is the number of attempts that may have
 /// run before. Never sent to back ends.
 pub const FORWARDED: HeaderName = HeaderName::from_static("silversail-forwarded");
 
+/// Version of the configuration that the peer of a forwarded request must have applied. Never sent to
+/// back ends.
+pub const MIN_CONFIGURATION: HeaderName = HeaderName::from_static("silversail-min-configuration");
+
+/// Whether a header is one of those by which nodes forward requests to each other.
+pub(super) fn is_forwarding_header(name: &HeaderName) -> bool {
+    [FORWARDED, MIN_CONFIGURATION].contains(name)
+}
+
 /// Maximum number of earlier attempts that a request can carry, far enough below the end of the type
 /// that sends can be added.
 const MAX_EARLIER_ATTEMPTS: u32 = 1 << 16;
 
-/// Number of earlier attempts that a forwarded request carries; `None` if it was not forwarded. A
-/// malformed number counts as 1, one above [`MAX_EARLIER_ATTEMPTS`] as that.
-pub fn earlier_attempts(headers: &EndToEndHeaders) -> Option<u32> {
-    let value = headers.as_map().get(FORWARDED)?;
-    let attempts = value.to_str().ok().and_then(|value| value.parse().ok());
-    Some(attempts.unwrap_or(1).min(MAX_EARLIER_ATTEMPTS))
+/// Reads what the node that forwarded a request tells; `None` if it was not forwarded. A malformed
+/// number of earlier attempts counts as 1, one above [`MAX_EARLIER_ATTEMPTS`] as that; a malformed
+/// version as none.
+pub fn read_forward(headers: &EndToEndHeaders) -> Option<ReceivedForward> {
+    let text = |name: &HeaderName| headers.as_map().get(name)?.to_str().ok();
+    if !headers.as_map().contains_key(FORWARDED) {
+        return None;
+    }
+    let attempts = text(&FORWARDED).and_then(|text| text.parse().ok());
+    let min_version = text(&MIN_CONFIGURATION).and_then(|text| text.parse().ok());
+    Some(ReceivedForward {
+        earlier_attempts: attempts.unwrap_or(1).min(MAX_EARLIER_ATTEMPTS),
+        min_version: min_version.unwrap_or(0),
+    })
 }
 
-/// Statuses by which a node rejects requests without a route or with an unknown key.
-const UNKNOWN_STATUSES: [u16; 3] = [401, 403, 404];
+/// Statuses by which a node rejects requests without a route, with an unknown key, or because its
+/// configuration is older than the forwarding node's.
+const UNKNOWN_STATUSES: [u16; 4] = [401, 403, 404, 421];
 
 impl RequestSender {
     /// Forwards the request `id` to the peer of `plan`, until the plan's deadline. The callbacks
@@ -107,6 +125,7 @@
         let protocol = &self.protocols.requests;
         let mut headers = protocol.forward_headers(&request.head.headers, remaining_ms);
         headers.insert(FORWARDED, HeaderValue::from(plan.earlier_attempts));
+        headers.insert(MIN_CONFIGURATION, HeaderValue::from(plan.min_version));
         with_headers(request, headers)
     }
 }
--- a/crates/daemon/src/gateway/request_sender.rs
+++ b/crates/daemon/src/gateway/request_sender.rs
@@ -3,7 +3,7 @@
 use crate::clock::{self, Clock};
 use crate::gateway::calls::CONNECT_TIMEOUT;
 use crate::gateway::exchange::{Exchange, ExchangeClient, ExchangeError, ExchangeRole, OwnAnswer};
-use crate::gateway::forwarding::FORWARDED;
+use crate::gateway::forwarding::{FORWARDED, MIN_CONFIGURATION};
 use crate::gateway::notices::NoticeRecorder;
 use crate::gateway::received_request::ReceivedRequest;
 use bytes::Bytes;
@@ -233,6 +233,7 @@
             .requests
             .engine_headers(&request.head.headers, &attributes);
         headers.remove(FORWARDED);
+        headers.remove(MIN_CONFIGURATION);
         with_headers(request, headers)
     }
 }
--- a/crates/daemon/src/gateway/state_updates.rs
+++ b/crates/daemon/src/gateway/state_updates.rs
@@ -154,7 +154,7 @@
             before: before.unwrap_or_default(),
         });
         self.dispatcher
-            .set_routes(RouteTable::new(&traffic.traffic));
+            .set_routes(RouteTable::new(&traffic.traffic), now);
         let services = traffic.traffic.services.iter();
         let specs = services
             .filter_map(|service| Some((service.name.clone(), service.batch.clone()?)))
--- a/crates/daemon/tests/forwarded_requests.rs
+++ b/crates/daemon/tests/forwarded_requests.rs
@@ -2,7 +2,7 @@
 
 use hyper::header::HeaderMap;
 use rstest::rstest;
-use silversail_daemon::gateway::forwarding::{earlier_attempts, FORWARDED};
+use silversail_daemon::gateway::forwarding::{read_forward, FORWARDED};
 use silversail_serving::end_to_end::EndToEndHeaders;
 
 /// A number at which the count of attempts begins anew, so that a request reaches more back ends than
@@ -24,5 +24,6 @@
         headers.insert(FORWARDED, value.parse().expect("a valid header value"));
     }
     let headers = EndToEndHeaders::new(headers, |_| true);
-    assert_eq!(earlier_attempts(&headers), expected);
+    let attempts = read_forward(&headers).map(|forward| forward.earlier_attempts);
+    assert_eq!(attempts, expected);
 }
--- a/crates/model/src/codes.rs
+++ b/crates/model/src/codes.rs
@@ -150,6 +150,9 @@
     /// The request has an attribute, as a part of its prompt, that crashed the back ends which
     /// answered requests with it.
     AttributeQuarantined = 2119, "attribute_quarantined", 400, NotRun;
+    /// Another node forwarded the request, and its callers have met a later configuration than this
+    /// node has applied.
+    OlderConfiguration = 2120, "older_configuration", 421, NotRun;
 
     /// No route matches the request's host and path.
     UnknownRoute = 2201, "unknown_route", 404, NotRun;
--- a/crates/serving/src/dispatcher.rs
+++ b/crates/serving/src/dispatcher.rs
@@ -19,6 +19,7 @@
 mod resuming;
 mod sending;
 
+use crate::configuration_history::ConfigurationHistory;
 use crate::forwarding::PeerTable;
 use crate::instances::InstanceTable;
 use crate::notices::BackendNotices;
@@ -68,6 +69,7 @@
     /// Whether this node reaches any back end.
     pub reachability: ReachabilityMonitor,
     peers: PeerTable,
+    configurations: ConfigurationHistory,
     budget: RetryBudget,
     nodes: usize,
     requests: BTreeMap<RequestNumber, ActiveRequest>,
@@ -98,6 +100,7 @@
             quarantine: RequestQuarantine::default(),
             reachability: ReachabilityMonitor::default(),
             peers: PeerTable::default(),
+            configurations: ConfigurationHistory::default(),
             budget: RetryBudget::new(limits),
             nodes: 1,
             requests: BTreeMap::new(),
@@ -219,6 +222,9 @@
         since: Millis,
         now: Millis,
     ) -> Vec<Action> {
+        if self.version() < call.min_version() {
+            return vec![self.reject_unadmitted(number, &call, ResultCode::OlderConfiguration)];
+        }
         let resolved_route = match self.resolve_route(&call) {
             Ok(resolved_route) => resolved_route,
             Err(code) => return vec![self.reject_unadmitted(number, &call, code)],
--- a/crates/serving/src/dispatcher/forwarding.rs
+++ b/crates/serving/src/dispatcher/forwarding.rs
@@ -60,6 +60,7 @@
             end: request.end,
             is_stream: request.resolved_route.route.kind.is_stream(),
             earlier_attempts: u32::from(request.failed_with.is_some()),
+            min_version: self.configurations.propagated_version(now),
         };
         self.log.record(Event::Forwarded {
             request: request.call.id.clone(),
--- a/crates/serving/src/dispatcher/regions.rs
+++ b/crates/serving/src/dispatcher/regions.rs
@@ -3,19 +3,21 @@
 use super::request::ActiveRequest;
 use super::Dispatcher;
 use crate::routes::RouteTable;
+use crate::Millis;
 use silversail_model::topology::RegionFilter;
 use silversail_peer::WorkId;
 
 impl Dispatcher {
     /// Replaces the traffic configuration. Its restrictions apply to the next send or order of
     /// open requests.
-    pub fn set_routes(&mut self, routes: RouteTable) {
+    pub fn set_routes(&mut self, routes: RouteTable, now: Millis) {
         let restricted_before = self.routes.as_ref().is_some_and(RouteTable::is_restricting);
         if restricted_before || routes.is_restricting() {
             for request in self.requests.values_mut() {
                 request.update_regions(&routes);
             }
         }
+        self.configurations.record(routes.version(), now);
         self.routes = Some(routes);
     }
 
--- a/crates/serving/src/dispatcher/request.rs
+++ b/crates/serving/src/dispatcher/request.rs
@@ -102,7 +102,7 @@
             &call.pieces,
             policy.late_start,
         );
-        let sends = call.forwarded.unwrap_or_default();
+        let sends = call.forwarded.unwrap_or_default().earlier_attempts;
         let parts = shared_parts(&call.prefix).filter(|_| resolved_route.route.has_prefix);
         let attribute_fingerprints = attribute_fingerprints(
             &resolved_route.service,
--- a/crates/serving/src/forwarding.rs
+++ b/crates/serving/src/forwarding.rs
@@ -2,7 +2,8 @@
 //!
 //! A peer gets the caller's request, with the caller's key, as if the caller had sent it there. It
 //! decides everything from the route to the retries, and its answer is passed on. It does not
-//! forward the request again.
+//! forward the request again, and rejects it if its configuration is older than the one that callers
+//! of the first node have met.
 
 use crate::Millis;
 use silversail_model::topology::RegionFilter;
@@ -43,6 +44,18 @@
     /// Number of earlier sends of this node that may have run, which count against the attempts of
     /// the request.
     pub earlier_attempts: u32,
+    /// Version of the traffic configuration that the peer must have applied: callers of this node
+    /// have met it.
+    pub min_version: u64,
+}
+
+/// What a node tells a peer to which it forwards a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReceivedForward {
+    /// Number of sends of that node that may have run.
+    pub earlier_attempts: u32,
+    /// Version of the traffic configuration by which the request must be served, or a later one.
+    pub min_version: u64,
 }
 
 /// The peers, with the requests that this node has forwarded to them.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod answer_identity;
 pub mod batcher;
 pub mod cold;
+mod configuration_history;
 pub mod crashes;
 pub mod dispatcher;
 pub mod end_to_end;
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -3,6 +3,7 @@
 
 use crate::answer_identity::UncheckedHead;
 use crate::end_to_end::EndToEndHeaders;
+use crate::forwarding::ReceivedForward;
 use http::header::HeaderName;
 use http::{HeaderMap, Method, Uri};
 use silversail_model::{AdvertisedRateLimit, ContentDigest, ResultCode, TrafficConfiguration};
@@ -96,13 +97,19 @@
     pub stripped_headers: Vec<String>,
     /// Digest of the request target and body.
     pub content: ContentDigest,
-    /// If another node forwarded the request: number of its sends that may have run.
-    pub forwarded: Option<u32>,
+    /// What the node that forwarded the request tells; none if the caller sent it here.
+    pub forwarded: Option<ReceivedForward>,
     /// The stream that the request takes up; none for a new one.
     pub resumed: Option<ResumedStream>,
 }
 
 impl CallAttributes {
+    /// Version of the traffic configuration by which the request must be served, or a later one; 0
+    /// for any.
+    pub fn min_version(&self) -> u64 {
+        self.forwarded.map_or(0, |forward| forward.min_version)
+    }
+
     /// Where the stream that the request takes up began, if that is known and it is a stream of
     /// `tenant`: one tenant's streams are unknown to others.
     pub fn origin_for(&self, tenant: &Option<String>) -> Option<(&StreamOrigin, OriginSource)> {
--- a/crates/serving/tests/allowed_regions.rs
+++ b/crates/serving/tests/allowed_regions.rs
@@ -43,7 +43,7 @@
         1,
         DecisionLog::disabled(),
     );
-    dispatcher.set_routes(RouteTable::new(traffic));
+    dispatcher.set_routes(RouteTable::new(traffic), 0);
     dispatcher.instances.replace_list(&instances());
     dispatcher
 }
@@ -202,11 +202,11 @@
     });
     let work = work.expect("submitted");
     assert_eq!(dispatcher.regions_of_work(work), Some(&RegionFilter::any()));
-    dispatcher.set_routes(RouteTable::new(&restricted(Some(&["north"]))));
+    dispatcher.set_routes(RouteTable::new(&restricted(Some(&["north"]))), 0);
     assert_eq!(dispatcher.regions_of_work(work), Some(&only(&["north"])));
     let again = dispatcher.send_ended(1, UNREACHABLE, None, 10);
     assert_eq!(engine_of(&again), None, "e2 and e3 are in region south");
-    dispatcher.set_routes(RouteTable::new(&restricted(None)));
+    dispatcher.set_routes(RouteTable::new(&restricted(None)), 0);
     assert_eq!(dispatcher.regions_of_work(work), Some(&RegionFilter::any()));
 }
 
--- a/crates/serving/tests/burst.rs
+++ b/crates/serving/tests/burst.rs
@@ -66,7 +66,7 @@
                 1,
                 DecisionLog::disabled(),
             );
-            node.set_routes(RouteTable::new(&configuration));
+            node.set_routes(RouteTable::new(&configuration), 0);
             node.instances.replace_list(&listed);
             node
         };
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -213,7 +213,7 @@
 /// A dispatcher with [`traffic`] and [`instances`] that decides by `policy`.
 pub fn dispatcher_with(policy: Policy) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(in_zone("a"), LIMITS, policy, 1, DecisionLog::disabled());
-    dispatcher.set_routes(RouteTable::new(&traffic()));
+    dispatcher.set_routes(RouteTable::new(&traffic()), 0);
     dispatcher.instances.replace_list(&instances());
     dispatcher
 }
--- a/crates/serving/tests/forwarding.rs
+++ b/crates/serving/tests/forwarding.rs
@@ -2,16 +2,19 @@
 
 mod common;
 
-use common::{call, call_of, dispatcher};
+use common::{call, call_of, dispatcher, traffic};
 use rstest::rstest;
 use silversail_model::topology::RegionFilter;
-use silversail_model::{AnswerEnd, NodeName, ResultCode};
+use silversail_model::{AnswerEnd, NodeName, ResultCode, TrafficConfiguration};
 use silversail_peer::ResultHandle;
 use silversail_serving::dispatcher::{
     Action, Dispatcher, NotRunReason, Refusal, SendOutcome, SendPlan, UnknownReason,
 };
-use silversail_serving::forwarding::{ForwardPlan, PeerNode, PeerTable, MAX_PEERS_TRIED};
+use silversail_serving::forwarding::{
+    ForwardPlan, PeerNode, PeerTable, ReceivedForward, MAX_PEERS_TRIED,
+};
 use silversail_serving::ports::CallAttributes;
+use silversail_serving::routes::RouteTable;
 use std::collections::BTreeMap;
 
 const UNREACHABLE: SendOutcome = SendOutcome::NotRun(NotRunReason::Unreachable);
@@ -77,7 +80,10 @@
 
 fn received_from_peer(call: CallAttributes, earlier_attempts: u32) -> CallAttributes {
     CallAttributes {
-        forwarded: Some(earlier_attempts),
+        forwarded: Some(ReceivedForward {
+            earlier_attempts,
+            min_version: 0,
+        }),
         ..call
     }
 }
@@ -317,3 +323,56 @@
     };
     assert!((0..20).any(is_used));
 }
+
+/// Callers of a node that is cut off meet an older configuration than before, at a peer that lags.
+#[rstest]
+#[case::older(6, Some(ResultCode::OlderConfiguration))]
+#[case::the_same(7, None)]
+#[case::newer(8, None)]
+fn a_forwarded_request_is_rejected_under_an_older_configuration(
+    #[case] own_version: u64,
+    #[case] expected: Option<ResultCode>,
+) {
+    let mut peer = dispatcher();
+    peer.set_routes(RouteTable::new(&with_version(own_version)), 0);
+    let call = CallAttributes {
+        forwarded: Some(ReceivedForward {
+            earlier_attempts: 0,
+            min_version: 7,
+        }),
+        ..call_of("r", "/gate/x")
+    };
+    let actions = peer.handle_request(1, call, 100);
+    assert_eq!(answered(&actions).map(|refusal| refusal.code), expected);
+    assert_eq!(sent(&actions).is_some(), expected.is_none());
+    let open = usize::from(expected.is_none());
+    assert_eq!(peer.open_requests(), open);
+}
+
+fn with_version(version: u64) -> TrafficConfiguration {
+    TrafficConfiguration {
+        version,
+        ..traffic()
+    }
+}
+
+/// A configuration that reaches the nodes one after the other is not asked of a peer at once.
+#[rstest]
+#[case::just_applied(1_099, 6)]
+#[case::propagated(1_100, 7)]
+#[case::the_second_of_a_quick_series(1_150, 8)]
+#[case::the_last(1_300, 9)]
+fn a_peer_must_have_the_configuration_that_callers_have_met_for_a_while(
+    #[case] now: u64,
+    #[case] expected: u64,
+) {
+    let mut dispatcher = cut_off(3);
+    for (version, applied_at) in [(6, 0), (7, 1_000), (8, 1_050), (9, 1_090)] {
+        if applied_at <= now {
+            dispatcher.set_routes(RouteTable::new(&with_version(version)), applied_at);
+        }
+    }
+    let actions = dispatcher.handle_request(1, call_of("r", "/gate/x"), now);
+    let plan = forwarded(&actions).expect("forwarded");
+    assert_eq!(plan.min_version, expected);
+}
--- a/crates/serving/tests/origin_seeds.rs
+++ b/crates/serving/tests/origin_seeds.rs
@@ -106,7 +106,7 @@
 fn new_node(now: u64) -> Node {
     let policy = Policy::default();
     let mut dispatcher = Dispatcher::new(in_zone("a"), LIMITS, policy, 1, DecisionLog::disabled());
-    dispatcher.set_routes(RouteTable::new(&traffic()));
+    dispatcher.set_routes(RouteTable::new(&traffic()), 0);
     Node {
         dispatcher,
         origins: StreamOrigins::default(),
--- a/crates/serving/tests/request_regions.rs
+++ b/crates/serving/tests/request_regions.rs
@@ -22,7 +22,7 @@
         1,
         DecisionLog::disabled(),
     );
-    dispatcher.set_routes(RouteTable::new(&traffic()));
+    dispatcher.set_routes(RouteTable::new(&traffic()), 0);
     dispatcher.instances.replace_list(&instances());
     dispatcher
 }
--- a/crates/serving/tests/rest_seeds.rs
+++ b/crates/serving/tests/rest_seeds.rs
@@ -56,7 +56,7 @@
         let log = DecisionLog::disabled;
         let policy = Policy::default();
         let mut dispatcher = Dispatcher::new(in_zone("a"), LIMITS, policy, 1, log());
-        dispatcher.set_routes(RouteTable::new(&traffic()));
+        dispatcher.set_routes(RouteTable::new(&traffic()), 0);
         dispatcher.apply_backend_list(&list_of(&instances()), 0);
         let mut batcher = Batcher::new(policy, log());
         batcher.set_specs([("encode".to_owned(), batch_spec())].into());
--- a/crates/serving/tests/rests.rs
+++ b/crates/serving/tests/rests.rs
@@ -81,7 +81,7 @@
     };
     let policy = Policy::default();
     let mut dispatcher = Dispatcher::new(in_zone("a"), limits, policy, 1, DecisionLog::disabled());
-    dispatcher.set_routes(RouteTable::new(&traffic()));
+    dispatcher.set_routes(RouteTable::new(&traffic()), 0);
     dispatcher.instances.replace_list(&instances());
     dispatcher
 }
--- a/crates/serving/tests/resumed_streams.rs
+++ b/crates/serving/tests/resumed_streams.rs
@@ -31,7 +31,7 @@
 fn dispatcher_of(entries: &[BackendListEntry]) -> Dispatcher {
     let policy = Policy::default();
     let mut dispatcher = Dispatcher::new(in_zone("a"), LIMITS, policy, 1, DecisionLog::disabled());
-    dispatcher.set_routes(RouteTable::new(&traffic()));
+    dispatcher.set_routes(RouteTable::new(&traffic()), 0);
     dispatcher.apply_backend_list(&list_of(entries), 0);
     dispatcher
 }
@@ -180,7 +180,7 @@
         },
     ];
     split.routes[1] = deep;
-    dispatcher.set_routes(RouteTable::new(&split));
+    dispatcher.set_routes(RouteTable::new(&split), 0);
     let entries = [
         instance("e1", "pool", "a"),
         instance("g1", "gate", "a"),
