--- a/crates/simulation/tests/formation.rs
+++ b/crates/simulation/tests/formation.rs
@@ -72,6 +72,16 @@
     }
 }
 
+/// Checks that `voters` members report the same number of voters.
+fn assert_one_group(world: &World, voters: usize, seed: u64) {
+    let groups = reported_voters(world);
+    assert_eq!(groups.len(), voters, "seed {seed}");
+    assert!(
+        groups.iter().all(|reported| reported.len() == voters),
+        "seed {seed}: {groups:?}"
+    );
+}
+
 #[rstest]
 #[case(3, 3)]
 #[case(10, 4)]
@@ -90,12 +100,7 @@
         start_in_random_order(&mut world, &[], &mut random);
         world.run_for(6_000);
         assert_converged(&world, &[], seed);
-        let groups = reported_voters(&world);
-        assert_eq!(groups.len(), disks, "seed {seed}");
-        assert!(
-            groups.iter().all(|voters| voters.len() == disks),
-            "seed {seed}: {groups:?}"
-        );
+        assert_one_group(&world, disks, seed);
     }
 }
 
@@ -216,12 +221,7 @@
         }
         world.run_for(10_000);
         assert_converged(&world, &[], seed);
-        let groups = reported_voters(&world);
-        assert_eq!(groups.len(), 3, "seed {seed}");
-        assert!(
-            groups.iter().all(|voters| voters.len() == 3),
-            "seed {seed}: {groups:?}"
-        );
+        assert_one_group(&world, 3, seed);
     }
 }
 
@@ -238,12 +238,7 @@
         world.start(late);
         world.run_for(8_000);
         assert_converged(&world, &[], seed);
-        let groups = reported_voters(&world);
-        assert_eq!(groups.len(), 3, "seed {seed}");
-        assert!(
-            groups.iter().all(|voters| voters.len() == 3),
-            "seed {seed}: {groups:?}"
-        );
+        assert_one_group(&world, 3, seed);
     }
 }
 
